Shape: ring, duty, declarations as immutable values, replicated log

replicator is the project's own consensus (pre-vote, check-quorum, leader lease, disk identities, learners, repair of one voter at a time).

A candidate need not wait for promises to end (those who gave them refuse until then), so it retries after 1/8 to 5/8 of that time.

--- /dev/null
+++ b/keeper/check.go
@@ -0,0 +1,137 @@
+package keeper
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrInvariant reports a state that must never be.
+var ErrInvariant = eris.New("invariant violated")
+
+// ErrDeclaration reports declarations that make no sense.
+var ErrDeclaration = eris.New("bad declaration")
+
+// Check tells whether every instance is in exactly one place and the places sum to the fleet.
+func (s State) Check() error {
+	var places [Lost + 1]int
+	for it := s.instances.Iterator(); !it.Done(); {
+		_, i, _ := it.Next()
+		if i.Place <= Unknown || i.Place > Lost {
+			return fmt.Errorf("instance %s is at place %d: %w", i.Name, i.Place, ErrInvariant)
+		}
+		pooled := i.Place != Spare && i.Place != Quarantined
+		if pooled && i.Pool == "" {
+			return fmt.Errorf("instance %s is %s in no pool: %w", i.Name, i.Place, ErrInvariant)
+		}
+		if i.Place == Spare && i.Pool != "" {
+			return fmt.Errorf("instance %s is spare and in pool %s: %w", i.Name, i.Pool, ErrInvariant)
+		}
+		places[i.Place]++
+	}
+	sum := 0
+	for _, n := range places {
+		sum += n
+	}
+	if sum != s.instances.Len() {
+		return fmt.Errorf("%d places for %d instances: %w", sum, s.instances.Len(), ErrInvariant)
+	}
+	return nil
+}
+
+// CheckStep tells whether one state may follow another: nothing reverts.
+func CheckStep(before, after State) error {
+	if after.revision < before.revision {
+		return fmt.Errorf("revision %d after %d: %w", after.revision, before.revision, ErrInvariant)
+	}
+	for it := before.instances.Iterator(); !it.Done(); {
+		name, old, _ := it.Next()
+		i, ok := after.instances.Get(name)
+		if !ok {
+			return fmt.Errorf("instance %s vanished: %w", name, ErrInvariant)
+		}
+		if i.Epoch < old.Epoch || (i.Epoch == old.Epoch && (i.Place != old.Place || i.Pool != old.Pool)) {
+			return fmt.Errorf("instance %s changed under epoch %d: %w", name, old.Epoch, ErrInvariant)
+		}
+		if i.Pool != old.Pool && old.Pool != "" && old.Place == Serving {
+			return fmt.Errorf("instance %s left pool %s without a drain: %w", name, old.Pool, ErrInvariant)
+		}
+	}
+	return nil
+}
+
+// Validate tells whether declarations can follow the present state.
+func (s State) Validate(d Declarations) error {
+	pools := make(map[string]bool)
+	spares := 0
+	for _, p := range d.Pools {
+		if p.Name == "" || pools[p.Name] {
+			return fmt.Errorf("pools: name %q is empty or stands twice: %w", p.Name, ErrDeclaration)
+		}
+		if p.Size < 0 {
+			return fmt.Errorf("pools.%s.size: %d is below zero: %w", p.Name, p.Size, ErrDeclaration)
+		}
+		if p.Spare {
+			spares++
+		}
+		pools[p.Name] = true
+	}
+	if spares > 1 {
+		return fmt.Errorf("pools: %d pools are spare, one at most may be: %w", spares, ErrDeclaration)
+	}
+	services, err := validateServices(d, pools)
+	if err != nil {
+		return err
+	}
+	err = validateCustomers(d, services)
+	if err != nil {
+		return err
+	}
+	for _, i := range s.Instances() {
+		if i.Pool != "" && !pools[i.Pool] {
+			return fmt.Errorf("pools: %s still holds instance %s: set its size to 0 first: %w", i.Pool, i.Name, ErrDeclaration)
+		}
+	}
+	return nil
+}
+
+func validateServices(d Declarations, pools map[string]bool) (map[string]bool, error) {
+	services := make(map[string]bool)
+	for _, v := range d.Services {
+		if v.Name == "" || services[v.Name] {
+			return nil, fmt.Errorf("services: name %q is empty or stands twice: %w", v.Name, ErrDeclaration)
+		}
+		if !pools[v.Pool] {
+			return nil, fmt.Errorf("services.%s.pool: no pool %q: %w", v.Name, v.Pool, ErrDeclaration)
+		}
+		if v.Share < 1 {
+			return nil, fmt.Errorf("services.%s.share: %d is below one: %w", v.Name, v.Share, ErrDeclaration)
+		}
+		services[v.Name] = true
+	}
+	return services, nil
+}
+
+func validateCustomers(d Declarations, services map[string]bool) error {
+	names := make(map[string]bool)
+	tokens := make(map[string]bool)
+	for _, c := range d.Customers {
+		if c.Name == "" || names[c.Name] {
+			return fmt.Errorf("customers: name %q is empty or stands twice: %w", c.Name, ErrDeclaration)
+		}
+		if c.Token == "" || tokens[c.Token] {
+			return fmt.Errorf("customers.%s.token: is empty or stands twice: %w", c.Name, ErrDeclaration)
+		}
+		if c.Weight < 1 {
+			return fmt.Errorf("customers.%s.weight: %d is below one: %w", c.Name, c.Weight, ErrDeclaration)
+		}
+		for _, name := range c.Services {
+			if !services[name] {
+				return fmt.Errorf("customers.%s.services: no service %q: %w", c.Name, name, ErrDeclaration)
+			}
+		}
+		names[c.Name] = true
+		tokens[c.Token] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/keeper/state.go
@@ -0,0 +1,180 @@
+package keeper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// ChangeRetention is how long the first result of a change is kept for repeats.
+const ChangeRetention = 24 * time.Hour
+
+// State is the immutable value of the declarations log.
+type State struct {
+	revision     uint64
+	now          time.Time // the time of the last command
+	declarations Declarations
+	pools        *immutable.Map[string, Pool]
+	services     *immutable.Map[string, Service]
+	customers    *immutable.Map[string, Customer]
+	tokens       *immutable.Map[string, string] // token digest to customer
+	instances    *immutable.SortedMap[string, Instance]
+	accounts     *immutable.SortedMap[string, Account]
+	changes      *immutable.SortedMap[string, Remembered]
+	wave         Wave
+	maintained   time.Duration // running mean of the time an instance is down for its maintenance
+}
+
+// NewState returns an empty state.
+func NewState() State {
+	return State{
+		pools:     immutable.NewMap[string, Pool](nil),
+		services:  immutable.NewMap[string, Service](nil),
+		customers: immutable.NewMap[string, Customer](nil),
+		tokens:    immutable.NewMap[string, string](nil),
+		instances: immutable.NewSortedMap[string, Instance](nil),
+		accounts:  immutable.NewSortedMap[string, Account](nil),
+		changes:   immutable.NewSortedMap[string, Remembered](nil),
+	}
+}
+
+// Revision is the number of the present declarations; zero means that there are none.
+func (s State) Revision() uint64 { return s.revision }
+
+// Declarations is what operators declared last.
+func (s State) Declarations() Declarations { return s.declarations }
+
+// Wave is the last maintenance wave.
+func (s State) Wave() Wave { return s.wave }
+
+// Pool returns a pool by its name.
+func (s State) Pool(name string) (Pool, bool) { return s.pools.Get(name) }
+
+// Service returns a service by its name.
+func (s State) Service(name string) (Service, bool) { return s.services.Get(name) }
+
+// Customer returns a customer by its name.
+func (s State) Customer(name string) (Customer, bool) { return s.customers.Get(name) }
+
+// Instance returns an instance by its name.
+func (s State) Instance(name string) (Instance, bool) { return s.instances.Get(name) }
+
+// CustomerByToken returns the customer whose token has this digest.
+func (s State) CustomerByToken(digest string) (Customer, bool) {
+	name, ok := s.tokens.Get(digest)
+	if !ok {
+		return Customer{}, false
+	}
+	return s.customers.Get(name)
+}
+
+// Instances returns all instances, sorted by name.
+func (s State) Instances() []Instance {
+	return values(s.instances)
+}
+
+// PoolInstances returns the instances that are charged to a pool, sorted by name.
+func (s State) PoolInstances(pool string) []Instance {
+	all := s.Instances()
+	return slices.DeleteFunc(all, func(i Instance) bool { return i.Pool != pool })
+}
+
+// WithInstance returns the state with one instance changed.
+func (s State) WithInstance(i Instance) State {
+	s.instances = s.instances.Set(i.Name, i)
+	return s
+}
+
+// WithWave returns the state with another wave.
+func (s State) WithWave(w Wave) State {
+	s.wave = w
+	return s
+}
+
+// WithDeclarations returns the state under the next revision.
+func (s State) WithDeclarations(d Declarations) State {
+	s.revision++
+	s.declarations = d
+	pools := immutable.NewMapBuilder[string, Pool](nil)
+	for _, p := range d.Pools {
+		pools.Set(p.Name, p)
+	}
+	services := immutable.NewMapBuilder[string, Service](nil)
+	for _, v := range d.Services {
+		services.Set(v.Name, v)
+	}
+	customers := immutable.NewMapBuilder[string, Customer](nil)
+	tokens := immutable.NewMapBuilder[string, string](nil)
+	for _, c := range d.Customers {
+		customers.Set(c.Name, c)
+		tokens.Set(c.Token, c.Name)
+	}
+	s.pools = pools.Map()
+	s.services = services.Map()
+	s.customers = customers.Map()
+	s.tokens = tokens.Map()
+	return s
+}
+
+// Image is the whole state in plain fields, for snapshots and for operators.
+type Image struct {
+	Revision     uint64
+	Now          time.Time
+	Declarations Declarations
+	Instances    []Instance
+	Accounts     []Account
+	Changes      []Remembered
+	Wave         Wave
+	Maintained   time.Duration
+}
+
+// Image returns the whole state in plain fields, each list sorted.
+func (s State) Image() Image {
+	return Image{
+		Revision:     s.revision,
+		Now:          s.now,
+		Declarations: s.declarations,
+		Instances:    s.Instances(),
+		Accounts:     values(s.accounts),
+		Changes:      values(s.changes),
+		Wave:         s.wave,
+		Maintained:   s.maintained,
+	}
+}
+
+// FromImage is the inverse of State.Image.
+func FromImage(img Image) State {
+	s := NewState()
+	if img.Revision > 0 {
+		s = s.WithDeclarations(img.Declarations)
+	}
+	s.revision = img.Revision
+	s.now = img.Now
+	s.wave = img.Wave
+	s.maintained = img.Maintained
+	for _, i := range img.Instances {
+		s.instances = s.instances.Set(i.Name, i)
+	}
+	for _, a := range img.Accounts {
+		s.accounts = s.accounts.Set(accountKey(a.Customer, a.Pool), a)
+	}
+	for _, c := range img.Changes {
+		s.changes = s.changes.Set(c.Change, c)
+	}
+	return s
+}
+
+func accountKey(customer, pool string) string {
+	return customer + "\x00" + pool
+}
+
+func values[K cmp.Ordered, V any](m *immutable.SortedMap[K, V]) []V {
+	out := make([]V, 0, m.Len())
+	for it := m.Iterator(); !it.Done(); {
+		_, v, _ := it.Next()
+		out = append(out, v)
+	}
+	return out
+}
--- /dev/null
+++ b/replicator/config.go
@@ -0,0 +1,57 @@
+package replicator
+
+import "time"
+
+// Config describes a node of a group.
+type Config[C, S, R any] struct {
+	Name         string
+	Disk         string // identity of the disk, or of this run of a node without one
+	Durable      bool   // the node has a disk, so it can be a voter
+	Peers        []Peer // the other nodes
+	Heartbeat    time.Duration
+	Election     time.Duration // shortest time without a leader before an election
+	Drift        time.Duration // how much two clocks may differ in one Election
+	Fresh        time.Duration // how long a follower counts its copy as fresh
+	CompactAfter uint64        // entries behind a snapshot before the next
+	KeepEntries  uint64        // entries kept before a snapshot, for followers that lag a little
+	MaxBatch     int           // entries in one message
+	Seed         uint64
+	Apply        func(s S, now time.Time, c C) (S, R)
+
+	// The switches below exist for proofs, which show that a mechanism is needed.
+	NoStickiness   bool // votes are granted while a leader is heard
+	ForgetIdentity bool // an empty disk votes under its old name
+}
+
+// Peer is another node.
+type Peer struct {
+	Name  string
+	Voter bool // may be made a voter
+	Hears bool // gets the log as a learner even if it is no voter
+}
+
+// WithDefaults fills in what is zero.
+func (cfg Config[C, S, R]) WithDefaults() Config[C, S, R] {
+	if cfg.Heartbeat == 0 {
+		cfg.Heartbeat = 100 * time.Millisecond
+	}
+	if cfg.Election == 0 {
+		cfg.Election = 500 * time.Millisecond
+	}
+	if cfg.Drift == 0 {
+		cfg.Drift = 50 * time.Millisecond
+	}
+	if cfg.Fresh == 0 {
+		cfg.Fresh = 3 * time.Second
+	}
+	if cfg.CompactAfter == 0 {
+		cfg.CompactAfter = 4096
+	}
+	if cfg.KeepEntries == 0 {
+		cfg.KeepEntries = 512
+	}
+	if cfg.MaxBatch == 0 {
+		cfg.MaxBatch = 256
+	}
+	return cfg
+}
--- /dev/null
+++ b/replicator/election.go
@@ -0,0 +1,132 @@
+package replicator
+
+import "slices"
+
+// preCampaign asks whether an election could be won, without raising the term,
+// so that a node that comes back after a cut does not depose a living leader.
+func (r *round[C, S, R]) preCampaign() {
+	s := &r.state
+	s.role = PreCandidate
+	s.votes = []string{s.cfg.Name}
+	r.askVotes(PreVote, s.term+1)
+	r.countVotes()
+}
+
+func (r *round[C, S, R]) campaign() {
+	s := &r.state
+	s.role = Candidate
+	s.term++
+	s.votedFor = s.cfg.Name
+	s.votes = []string{s.cfg.Name}
+	r.dirty = true
+	*s = s.withRetryTimer(r.now)
+	r.askVotes(Vote, s.term)
+	if s.quorum() == 1 {
+		r.lead()
+	}
+}
+
+func (r *round[C, S, R]) askVotes(kind Kind, term uint64) {
+	s := r.state
+	for _, m := range s.Members() {
+		if m.Name == s.cfg.Name {
+			continue
+		}
+		// The own vote is synced before anybody hears of the candidacy.
+		r.sendSynced(Message[C, S, R]{Kind: kind, To: m.Name, Term: term, Index: s.lastIndex(), LogTerm: s.lastTerm()})
+	}
+}
+
+func (r *round[C, S, R]) answerVote(m Message[C, S, R]) {
+	s := &r.state
+	current := m.LogTerm > s.lastTerm() || (m.LogTerm == s.lastTerm() && m.Index >= s.lastIndex())
+	grant := current && s.IsVoter() && m.Term >= s.term && !r.hearsLeader()
+	if m.Kind == PreVote {
+		grant = grant && m.Term > s.term
+		reply := Message[C, S, R]{Kind: PreVoteReply, To: m.From, Granted: grant, Term: s.term}
+		if grant {
+			reply.Term = m.Term
+		}
+		r.sendSynced(reply)
+		return
+	}
+	grant = grant && m.Term == s.term && (s.votedFor == "" || s.votedFor == m.From)
+	if grant {
+		s.votedFor = m.From
+		r.dirty = true
+		*s = s.withElectionTimer(r.now)
+	}
+	r.sendSynced(Message[C, S, R]{Kind: VoteReply, To: m.From, Granted: grant})
+}
+
+func (r *round[C, S, R]) countVote(m Message[C, S, R]) {
+	s := &r.state
+	wanted := (s.role == PreCandidate && m.Kind == PreVoteReply && m.Term == s.term+1) ||
+		(s.role == Candidate && m.Kind == VoteReply && m.Term == s.term)
+	if !wanted || !m.Granted || !s.isMember(m.From, m.Disk) || slices.Contains(s.votes, m.From) {
+		return
+	}
+	s.votes = append(slices.Clone(s.votes), m.From)
+	r.countVotes()
+}
+
+func (r *round[C, S, R]) countVotes() {
+	s := r.state
+	if len(s.votes) < s.quorum() {
+		return
+	}
+	switch s.role {
+	case PreCandidate:
+		r.campaign()
+	case Candidate:
+		r.lead()
+	}
+}
+
+func (r *round[C, S, R]) lead() {
+	s := &r.state
+	s.role = Leader
+	s.leader = s.cfg.Name
+	s.heardAt = r.now
+	s.peers = slices.Clone(s.peers)
+	for i := range s.peers {
+		s.peers[i] = progress{name: s.peers[i].name, next: s.lastIndex() + 1}
+	}
+	s.termStart = s.lastIndex() + 1
+	r.append(Entry[C]{Kind: Noop})
+}
+
+// repairVoters takes a node that lost its disk out of the voters and, once it has
+// caught up under its new identity, in again: one change at a time, each committed first.
+func (r *round[C, S, R]) repairVoters() {
+	s := r.state
+	pending := s.configs[len(s.configs)-1].index > s.commit
+	if pending || s.commit < s.termStart || !s.HoldsLease(r.now) {
+		return
+	}
+	for _, p := range s.cfg.Peers {
+		known, _ := s.peer(p.Name)
+		if !p.Voter || known.disk == "" || s.isMember(p.Name, known.disk) {
+			continue
+		}
+		if !r.caughtUp(known) {
+			continue
+		}
+		r.append(Entry[C]{Kind: Membership, Members: r.repaired(known)})
+		return
+	}
+}
+
+func (r *round[C, S, R]) caughtUp(p progress) bool {
+	return p.match >= r.state.commit && r.now.Sub(p.ackedAt) < r.state.cfg.Election
+}
+
+// repaired is the next membership: first without the old identity, then with the new one.
+func (r *round[C, S, R]) repaired(p progress) []Member {
+	members := slices.Clone(r.state.Members())
+	without := slices.DeleteFunc(members, func(m Member) bool { return m.Name == p.name })
+	if len(without) < len(r.state.Members()) {
+		return without
+	}
+	return append(without, Member{Name: p.name, Disk: p.disk})
+}
