The path from caller to endpoint as stages, edges, and the daemon

Admission, placement, claims, answers, endpoints and planning as pure stages; the node assembles them and is driven without threads; the runner gives each a goroutine; HTTP, twirp and disk are the edges. Not yet exercised end to end.

--- /dev/null
+++ b/admitter/turn.go
@@ -0,0 +1,276 @@
+package admitter
+
+import (
+	"time"
+
+	"laburnumwind/messenger"
+)
+
+// The statuses of refusals.
+const (
+	statusTooMany     = 429
+	statusUnavailable = 503
+)
+
+// turn gathers what one step does.
+type turn struct {
+	state State
+	now   time.Time
+	out   []messenger.Message
+}
+
+func (t *turn) send(to messenger.Stage, body any) {
+	t.out = append(t.out, messenger.Message{To: to, Body: body})
+}
+
+func (t *turn) refuse(r messenger.Request, reason messenger.Reason, status int) {
+	t.send(messenger.Reporter, messenger.Decision{
+		Stage:    messenger.Admitter,
+		What:     "refused",
+		Request:  r.ID,
+		Service:  r.Service,
+		Customer: r.Customer,
+		Pool:     r.Pool,
+		Reason:   string(reason),
+	})
+	t.send(messenger.Answerer, messenger.Close{
+		Request: r,
+		Answer:  messenger.Refusal(reason, status, t.state.cfg.RetryAfter),
+	})
+}
+
+func (t *turn) arrive(m messenger.Arrive) {
+	r := m.Request
+	v, ok := t.state.services.Get(r.Service)
+	if !ok || t.state.reachable(v) == 0 {
+		t.refuse(r, messenger.NoEndpoint, statusUnavailable)
+		return
+	}
+	if t.state.stopping {
+		t.refuse(r, messenger.Stopping, statusUnavailable)
+		return
+	}
+	q, ok := v.queues.Get(r.Customer)
+	if !ok {
+		c, _ := t.state.weights.Customer(r.Customer)
+		q = newQueue(r.Customer, c.Weight)
+	}
+	if t.isTooLate(v, q, r) {
+		t.refuse(r, messenger.QueueFull, statusTooMany)
+		return
+	}
+	if !t.now.Before(startBy(t.state.cfg, r)) {
+		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+		return
+	}
+	r.Pool = v.home
+	t.state = t.state.withService(v.withQueue(q.withRequest(r)))
+	t.state.waiting = t.state.waiting.Set(r.ID, place{service: r.Service, customer: r.Customer})
+	t.pumpService(v.name)
+}
+
+// reachable is the number of slots that a service could ever get now.
+func (s State) reachable(v service) int {
+	n := 0
+	for _, p := range s.poolList() {
+		if p.name == v.home || (p.lendable && s.cfg.Policy.Lends) {
+			n += p.capacity
+		}
+	}
+	return n
+}
+
+// isTooLate tells whether a request would have to wait longer than it may.
+func (t *turn) isTooLate(v service, q queue, r messenger.Request) bool {
+	if q.len() >= t.state.cfg.MaxQueue {
+		return true
+	}
+	ahead := q.ahead(r.IsUrgent())
+	if !t.state.cfg.Policy.Bounded || ahead == 0 {
+		return false
+	}
+	slots := 0
+	for _, u := range v.uses {
+		slots += u.limit
+	}
+	weights := 0
+	for it := v.queues.Iterator(); !it.Done(); {
+		_, other, _ := it.Next()
+		if other.len() > 0 || other.customer == q.customer {
+			weights += other.weight
+		}
+	}
+	mine := float64(max(slots, 1)) * float64(q.weight) / float64(max(weights, q.weight))
+	wait := time.Duration(float64(ahead+1) / mine * float64(v.mean))
+	return t.now.Add(wait).After(startBy(t.state.cfg, r))
+}
+
+func (t *turn) cancel(m messenger.Cancel) {
+	where, ok := t.state.waiting.Get(m.ID)
+	if !ok {
+		return
+	}
+	v, _ := t.state.services.Get(where.service)
+	q, _ := v.queues.Get(where.customer)
+	q, dropped := q.without(func(r messenger.Request) bool { return r.ID == m.ID })
+	t.state = t.state.withService(v.withQueue(q))
+	t.state.waiting = t.state.waiting.Delete(m.ID)
+	for _, r := range dropped {
+		t.refuse(r, messenger.Cancelled, statusUnavailable)
+	}
+}
+
+func (t *turn) release(m messenger.Release) {
+	t.giveBack(m.Request, m.Ran)
+	t.pumpPool(m.Request.Pool)
+}
+
+// giveBack frees the slot of a request and learns from its run time.
+func (t *turn) giveBack(r messenger.Request, ran time.Duration) {
+	v, ok := t.state.services.Get(r.Service)
+	if !ok {
+		return
+	}
+	v = v.withInUse(r.Pool, -1)
+	if ran > 0 {
+		v = v.withRun(ran)
+	}
+	q, ok := v.queues.Get(r.Customer)
+	if ok {
+		v = v.withQueue(q.withUse(-1))
+	}
+	t.state = t.state.withService(v).withPoolUse(r.Pool, -1)
+}
+
+func (s State) withPoolUse(name string, n int) State {
+	p, ok := s.pools.Get(name)
+	if !ok {
+		return s
+	}
+	p.inUse = max(p.inUse+n, 0)
+	s.pools = s.pools.Set(name, p)
+	return s
+}
+
+func (t *turn) tick() {
+	t.expire()
+	t.state = t.state.withoutSilent(t.now)
+	for _, v := range t.state.all() {
+		t.state = t.state.withService(v.withSample(t.state.homeDemand(v)))
+	}
+	t.state = t.state.recompute()
+	t.pumpAll()
+	t.send(messenger.Tracker, messenger.LocalDemand{Demands: t.state.Demands()})
+}
+
+// expire refuses what did not start in time.
+func (t *turn) expire() {
+	late := func(r messenger.Request) bool { return !t.now.Before(startBy(t.state.cfg, r)) }
+	for _, v := range t.state.all() {
+		if v.waiting == 0 {
+			continue
+		}
+		for it := v.queues.Iterator(); !it.Done(); {
+			_, q, _ := it.Next()
+			q, dropped := q.without(late)
+			if len(dropped) == 0 {
+				continue
+			}
+			v = v.withQueue(q)
+			for _, r := range dropped {
+				t.state.waiting = t.state.waiting.Delete(r.ID)
+				t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+			}
+		}
+		t.state = t.state.withService(v)
+	}
+}
+
+func (t *turn) pumpAll() {
+	for _, p := range t.state.poolList() {
+		t.pumpPool(p.name)
+	}
+}
+
+// pumpService starts what waits for one service, at home first.
+func (t *turn) pumpService(name string) {
+	v, _ := t.state.services.Get(name)
+	t.pumpPool(v.home)
+	for _, u := range v.uses {
+		v, _ = t.state.services.Get(name)
+		if u.pool != v.home && v.waiting > 0 {
+			t.pumpPool(u.pool)
+		}
+	}
+}
+
+// pumpPool starts requests while the pool has room for one.
+func (t *turn) pumpPool(name string) {
+	for {
+		p, ok := t.state.pools.Get(name)
+		if !ok || t.state.free(p) <= 0 {
+			return
+		}
+		v, q, ok := t.best(p)
+		if !ok {
+			return
+		}
+		t.start(p, v, q)
+	}
+}
+
+// free is the number of slots of a pool that nobody is known to use.
+func (s State) free(p pool) int {
+	n := p.capacity - p.inUse
+	for it := s.remotes.Iterator(); !it.Done(); {
+		_, r, _ := it.Next()
+		n -= r.inUse(p.name)
+	}
+	return n
+}
+
+func (t *turn) best(p pool) (service, queue, bool) {
+	var bestService service
+	var bestQueue queue
+	var best Candidate
+	found := false
+	for it := t.state.services.Iterator(); !it.Done(); {
+		_, v, _ := it.Next()
+		u := v.use(p.name)
+		if v.waiting == 0 || u.inUse >= u.limit {
+			continue
+		}
+		for queues := v.queues.Iterator(); !queues.Done(); {
+			_, q, _ := queues.Next()
+			if q.len() == 0 {
+				continue
+			}
+			c := candidate(v, u, q)
+			if !found || t.state.cfg.Policy.Less(c, best) {
+				bestService, bestQueue, best, found = v, q, c, true
+			}
+		}
+	}
+	return bestService, bestQueue, found
+}
+
+func candidate(v service, u use, q queue) Candidate {
+	head := q.head()
+	return Candidate{
+		Service:      v.name,
+		ServiceRatio: float64(u.inUse) / float64(v.share),
+		Ratio:        float64(q.inUse) / float64(q.weight),
+		Arrived:      head.Arrived,
+		Urgency:      head.Urgency,
+		LastPick:     q.picked,
+	}
+}
+
+func (t *turn) start(p pool, v service, q queue) {
+	r := q.head().WithPool(p.name)
+	t.state.picks++
+	q = q.withoutHead().withUse(1).withPick(t.state.picks)
+	t.state = t.state.withService(v.withQueue(q).withInUse(p.name, 1)).withPoolUse(p.name, 1)
+	t.state.waiting = t.state.waiting.Delete(r.ID)
+	t.send(messenger.Placer, messenger.Admitted{Request: r})
+}
--- /dev/null
+++ b/assembler/group.go
@@ -0,0 +1,83 @@
+package assembler
+
+import (
+	"time"
+
+	"laburnumwind/claimer"
+	"laburnumwind/keeper"
+	"laburnumwind/messenger"
+	"laburnumwind/replicator"
+)
+
+// The two replicated groups: separate logs, so that many claims never delay a declaration.
+type (
+	// DeclarationsState is a node of the declarations group.
+	DeclarationsState = replicator.State[keeper.Command, keeper.State, keeper.Result]
+	// DeclarationsConfig describes a node of the declarations group.
+	DeclarationsConfig = replicator.Config[keeper.Command, keeper.State, keeper.Result]
+	// DeclarationsMessage goes between the nodes of the declarations group.
+	DeclarationsMessage = replicator.Message[keeper.Command, keeper.State, keeper.Result]
+	// DeclarationsWrite is for the disk of a voter of the declarations group.
+	DeclarationsWrite = Write[keeper.Command, keeper.State, keeper.Result]
+	// DeclarationsDisk is what a voter of the declarations group finds on its disk.
+	DeclarationsDisk = replicator.Disk[keeper.Command, keeper.State]
+
+	// ClaimsState is a node of the claims group.
+	ClaimsState = replicator.State[claimer.Command, claimer.Register, claimer.Result]
+	// ClaimsConfig describes a node of the claims group.
+	ClaimsConfig = replicator.Config[claimer.Command, claimer.Register, claimer.Result]
+	// ClaimsMessage goes between the nodes of the claims group.
+	ClaimsMessage = replicator.Message[claimer.Command, claimer.Register, claimer.Result]
+	// ClaimsWrite is for the disk of a voter of the claims group.
+	ClaimsWrite = Write[claimer.Command, claimer.Register, claimer.Result]
+	// ClaimsDisk is what a voter of the claims group finds on its disk.
+	ClaimsDisk = replicator.Disk[claimer.Command, claimer.Register]
+)
+
+// Write is for the recorder: what must be synced, and the messages that may go only then.
+type Write[C, S, R any] struct {
+	Write  *replicator.Write[C, S]
+	Synced []replicator.Message[C, S, R]
+}
+
+// group is a replicated group as a stage.
+type group[C, S, R any] struct {
+	name    messenger.Stage
+	state   replicator.State[C, S, R]
+	results func(replicator.Result[R]) []messenger.Message
+	views   func(now time.Time, s replicator.State[C, S, R], applied bool) []messenger.Message
+	check   func(before, after replicator.State[C, S, R])
+}
+
+// take runs one step and turns its effects into messages.
+func (g *group[C, S, R]) take(now time.Time, body any) []messenger.Message {
+	before := g.state
+	var effects replicator.Effects[C, S, R]
+	switch m := body.(type) {
+	case replicator.Message[C, S, R]:
+		g.state, effects = g.state.Receive(now, m)
+	case replicator.Proposal[C]:
+		g.state, effects = g.state.Propose(now, m)
+	case replicator.Persisted:
+		g.state, effects = g.state.Persisted(now, m)
+	case messenger.Tick:
+		g.state, effects = g.state.Tick(now)
+	}
+	g.check(before, g.state)
+	return g.out(now, effects)
+}
+
+func (g *group[C, S, R]) out(now time.Time, e replicator.Effects[C, S, R]) []messenger.Message {
+	var out []messenger.Message
+	if e.Write != nil || len(e.Synced) > 0 {
+		out = append(out, messenger.Message{To: messenger.Recorder, Body: Write[C, S, R]{Write: e.Write, Synced: e.Synced}})
+	}
+	for _, m := range e.Now {
+		out = append(out, messenger.Message{To: messenger.Courier, Body: m})
+	}
+	out = append(out, g.views(now, g.state, e.Applied > 0)...)
+	for _, r := range e.Results {
+		out = append(out, g.results(r)...)
+	}
+	return out
+}
--- /dev/null
+++ b/assembler/node.go
@@ -0,0 +1,195 @@
+// Package assembler puts the stages of a node together.
+// A Node is driven without threads, sockets or files: messages and the present time in, messages out.
+package assembler
+
+import (
+	"time"
+
+	"laburnumwind/admitter"
+	"laburnumwind/answerer"
+	"laburnumwind/claimer"
+	"laburnumwind/keeper"
+	"laburnumwind/messenger"
+	"laburnumwind/placer"
+	"laburnumwind/planner"
+	"laburnumwind/replicator"
+	"laburnumwind/tracker"
+)
+
+// Config describes a node.
+type Config struct {
+	Admitter     admitter.Config
+	Placer       placer.Config
+	Claimer      claimer.Config
+	Tracker      tracker.Config
+	Planner      planner.Config
+	Declarations DeclarationsConfig
+	Claims       ClaimsConfig
+	Ticket       uint64           // where tickets start; no earlier run of this node used higher ones
+	Violated     func(what error) // is told of invariants that do not hold
+}
+
+// Stage is one stage of a node.
+type Stage struct {
+	Name messenger.Stage
+	Step func(now time.Time, body any) []messenger.Message
+	Tick time.Duration // how often it wants to know the time; zero: never
+}
+
+// Node is a whole node.
+type Node struct {
+	stages map[messenger.Stage]Stage
+	order  []messenger.Stage
+}
+
+// Intervals of ticks.
+const (
+	groupTick   = 20 * time.Millisecond
+	requestTick = 100 * time.Millisecond
+	controlTick = 250 * time.Millisecond
+)
+
+// NewNode assembles a node that starts with what is on its disks.
+func NewNode(now time.Time, cfg Config, declarations DeclarationsDisk, claims ClaimsDisk) *Node {
+	n := &Node{stages: make(map[messenger.Stage]Stage)}
+	n.add(messenger.Admitter, requestTick, steps(admitter.NewState(cfg.Admitter), admitter.State.Step))
+	n.add(messenger.Placer, requestTick, steps(placer.NewState(cfg.Placer), placer.State.Step))
+	n.add(messenger.Claimer, requestTick, steps(claimer.NewState(cfg.Claimer, cfg.Ticket), claimer.State.Step))
+	n.add(messenger.Answerer, 0, steps(answerer.NewState(), answerer.State.Step))
+	n.add(messenger.Tracker, controlTick, steps(tracker.NewState(cfg.Tracker), tracker.State.Step))
+	n.add(messenger.Planner, controlTick, steps(planner.NewState(cfg.Planner, cfg.Ticket), planner.State.Step))
+	n.add(messenger.Declarations, groupTick, declarationsStep(now, cfg, declarations))
+	n.add(messenger.Claims, groupTick, claimsStep(now, cfg, claims))
+	return n
+}
+
+func (n *Node) add(name messenger.Stage, tick time.Duration, step func(time.Time, any) []messenger.Message) {
+	n.stages[name] = Stage{Name: name, Step: step, Tick: tick}
+	n.order = append(n.order, name)
+}
+
+// steps keeps the state of a stage between its steps.
+func steps[S any](state S, step func(S, time.Time, any) (S, []messenger.Message)) func(time.Time, any) []messenger.Message {
+	return func(now time.Time, body any) []messenger.Message {
+		var out []messenger.Message
+		state, out = step(state, now, body)
+		return out
+	}
+}
+
+// Stages are the stages in a fixed order, for a runner that gives each its own thread.
+func (n *Node) Stages() []Stage {
+	out := make([]Stage, 0, len(n.order))
+	for _, name := range n.order {
+		out = append(out, n.stages[name])
+	}
+	return out
+}
+
+// Step takes one message through all stages and returns what is for the edges.
+func (n *Node) Step(now time.Time, m messenger.Message) []messenger.Message {
+	var edges []messenger.Message
+	queue := []messenger.Message{m}
+	for len(queue) > 0 {
+		next := queue[0]
+		queue = queue[1:]
+		stage, ok := n.stages[next.To]
+		if !ok {
+			edges = append(edges, next)
+			continue
+		}
+		queue = append(queue, stage.Step(now, next.Body)...)
+	}
+	return edges
+}
+
+// Tick tells all stages the time.
+func (n *Node) Tick(now time.Time) []messenger.Message {
+	var edges []messenger.Message
+	for _, name := range n.order {
+		if n.stages[name].Tick > 0 {
+			edges = append(edges, n.Step(now, messenger.Message{To: name, Body: messenger.Tick{}})...)
+		}
+	}
+	return edges
+}
+
+func declarationsStep(now time.Time, cfg Config, disk DeclarationsDisk) func(time.Time, any) []messenger.Message {
+	cfg.Declarations.Apply = func(s keeper.State, at time.Time, c keeper.Command) (keeper.State, keeper.Result) {
+		next, r := s.Apply(at, c)
+		cfg.report(next.Check())
+		cfg.report(keeper.CheckStep(s, next))
+		return next, r
+	}
+	last := messenger.View{}
+	viewedAt := uint64(0)
+	g := &group[keeper.Command, keeper.State, keeper.Result]{
+		name:  messenger.Declarations,
+		state: replicator.NewState(now, cfg.Declarations, disk),
+		check: func(before, after DeclarationsState) { cfg.report(checkGroup(before, after)) },
+		results: func(r replicator.Result[keeper.Result]) []messenger.Message {
+			body := messenger.Proposed{Ticket: r.Ticket, Result: r.Value, Failed: r.Failed}
+			return []messenger.Message{{To: messenger.Operator, Body: body}}
+		},
+	}
+	g.views = func(now time.Time, s DeclarationsState, _ bool) []messenger.Message {
+		view := messenger.View{State: s.Machine(), Leads: s.HoldsLease(now), Fresh: s.IsFresh(now), Leader: s.LeaderName()}
+		same := s.Applied() == viewedAt && view.Leads == last.Leads && view.Fresh == last.Fresh && view.Leader == last.Leader
+		if same {
+			return nil
+		}
+		last, viewedAt = view, s.Applied()
+		return toAll(view, messenger.Admitter, messenger.Tracker, messenger.Planner, messenger.Receiver, messenger.Operator, messenger.Announcer)
+	}
+	return func(now time.Time, body any) []messenger.Message {
+		p, ok := body.(messenger.Propose)
+		if ok {
+			body = replicator.Proposal[keeper.Command]{Ticket: p.Ticket, Command: p.Command}
+		}
+		return g.take(now, body)
+	}
+}
+
+func claimsStep(now time.Time, cfg Config, disk ClaimsDisk) func(time.Time, any) []messenger.Message {
+	cfg.Claims.Apply = claimer.Register.Apply
+	viewedAt := uint64(0)
+	leads := false
+	g := &group[claimer.Command, claimer.Register, claimer.Result]{
+		name:  messenger.Claims,
+		state: replicator.NewState(now, cfg.Claims, disk),
+		check: func(before, after ClaimsState) { cfg.report(checkGroup(before, after)) },
+		results: func(r replicator.Result[claimer.Result]) []messenger.Message {
+			body := claimer.Submitted{Ticket: r.Ticket, Result: r.Value, Failed: r.Failed}
+			return []messenger.Message{{To: messenger.Claimer, Body: body}}
+		},
+	}
+	g.views = func(now time.Time, s ClaimsState, _ bool) []messenger.Message {
+		holds := s.HoldsLease(now)
+		if holds == leads && (!holds || s.Applied() == viewedAt) {
+			return nil
+		}
+		leads, viewedAt = holds, s.Applied()
+		return toAll(claimer.RegisterView{Register: s.Machine(), Leads: holds}, messenger.Claimer)
+	}
+	return func(now time.Time, body any) []messenger.Message {
+		p, ok := body.(claimer.Submit)
+		if ok {
+			body = replicator.Proposal[claimer.Command]{Ticket: p.Ticket, Command: p.Command}
+		}
+		return g.take(now, body)
+	}
+}
+
+func toAll(body any, stages ...messenger.Stage) []messenger.Message {
+	out := make([]messenger.Message, 0, len(stages))
+	for _, to := range stages {
+		out = append(out, messenger.Message{To: to, Body: body})
+	}
+	return out
+}
+
+func (cfg Config) report(err error) {
+	if err != nil {
+		cfg.Violated(err)
+	}
+}
--- a/keeper/command.go
+++ b/keeper/command.go
@@ -20,6 +20,18 @@
 	FailWave                   // an instance did not come back from its maintenance
 )
 
+// String is the name of the kind in lower camel case.
+func (k Kind) String() string {
+	names := [...]string{
+		"none", "apply", "register", "drain", "advance", "markLost", "return", "quarantine",
+		"release", "startWave", "stopWave", "failWave",
+	}
+	if k < 0 || int(k) >= len(names) {
+		return names[0]
+	}
+	return names[k]
+}
+
 // Command is one entry of the declarations log.
 type Command struct {
 	Kind         Kind
--- a/keeper/wave.go
+++ b/keeper/wave.go
@@ -12,7 +12,7 @@
 	id := s.wave.ID + 1
 	total := 0
 	for _, i := range s.Instances() {
-		if i.Place == Quarantined {
+		if i.Place == Quarantined || i.Pool == "" {
 			continue
 		}
 		s = s.WithInstance(i.WithWave(id))
--- /dev/null
+++ b/planner/wave.go
@@ -0,0 +1,86 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"laburnumwind/keeper"
+)
+
+// proposeWave drains the next instances of a running wave, pool by pool, as
+// many as the budgets allow. Racks that are partly down already go first: what
+// is left of them is the smallest further loss.
+func (t *turn) proposeWave() {
+	s := t.state.view.State
+	if s.Wave().State != keeper.WaveRunning || t.state.cfg.NoMaintenance {
+		return
+	}
+	if t.state.cfg.OneRackOnly && t.anyDown() {
+		return
+	}
+	for _, pool := range waitingPools(s) {
+		for _, i := range t.candidates(pool) {
+			if s.DrainRefusal(t.now, i) != "" {
+				continue
+			}
+			if t.propose(keeper.Command{Kind: keeper.Drain, Instance: i}) {
+				break // the next look sees this one as down
+			}
+		}
+		if t.state.cfg.OneRackOnly && len(t.out) > 0 {
+			return
+		}
+	}
+}
+
+func (t *turn) anyDown() bool {
+	for _, i := range t.state.view.State.Instances() {
+		if i.IsDown() || t.pendingAt(i.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+func waitingPools(s keeper.State) []string {
+	var pools []string
+	for _, i := range s.Instances() {
+		waits := i.Wave == s.Wave().ID && i.Place == keeper.Serving
+		if waits && !slices.Contains(pools, i.Pool) {
+			pools = append(pools, i.Pool)
+		}
+	}
+	slices.Sort(pools)
+	return pools
+}
+
+// candidates are the instances of a pool that wait for the wave, best first.
+// There is none while a proposal for the pool is on its way.
+func (t *turn) candidates(pool string) []keeper.Instance {
+	s := t.state.view.State
+	down := make(map[string]int)
+	up := make(map[string]int)
+	var waiting []keeper.Instance
+	for _, i := range s.PoolInstances(pool) {
+		if t.pendingAt(i.Name) && i.Place == keeper.Serving {
+			return nil
+		}
+		if i.IsDown() {
+			down[i.Rack]++
+			continue
+		}
+		up[i.Rack]++
+		if i.Wave == s.Wave().ID {
+			waiting = append(waiting, i)
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b keeper.Instance) int {
+		return cmp.Or(
+			cmp.Compare(down[b.Rack], down[a.Rack]),
+			cmp.Compare(up[b.Rack], up[a.Rack]), // thins out the largest correlated loss
+			cmp.Compare(a.Rack, b.Rack),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	return waiting
+}
--- /dev/null
+++ b/recorder/store.go
@@ -0,0 +1,236 @@
+package recorder
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"laburnumwind/encoder"
+	"laburnumwind/replicator"
+)
+
+// folderMode lets only the daemon's user read the state.
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// Store is the log and the snapshot of one group in a data folder.
+type Store[C, S, R any] struct {
+	folder string
+	group  string
+	codec  encoder.Codec[C, S, R]
+	log    *os.File
+}
+
+// OpenStore opens the files of a group and returns what is on disk.
+// Without files it returns the initial disk and, if that has a snapshot, writes
+// it; but a disk with an identity must have files.
+func OpenStore[C, S, R any](folder, group string, codec encoder.Codec[C, S, R], initial replicator.Disk[C, S], identified bool) (*Store[C, S, R], replicator.Disk[C, S], error) {
+	s := &Store[C, S, R]{folder: folder, group: group, codec: codec}
+	err := os.MkdirAll(folder, folderMode)
+	if err != nil {
+		return nil, initial, fmt.Errorf("make data folder: %w", err)
+	}
+	disk, found, err := s.load(initial)
+	if err != nil {
+		return nil, initial, fmt.Errorf("load %s: %w", group, err)
+	}
+	if !found && identified {
+		return nil, initial, fmt.Errorf("%s is missing: %w", s.path("log"), ErrCorrupt)
+	}
+	if !found && disk.Snapshot.Index > 0 {
+		err = s.rewrite(replicator.Write[C, S]{Term: disk.Term, Snapshot: &disk.Snapshot})
+		if err != nil {
+			return nil, initial, fmt.Errorf("write first snapshot of %s: %w", group, err)
+		}
+		return s, disk, nil
+	}
+	s.log, err = os.OpenFile(s.path("log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, initial, fmt.Errorf("open log: %w", err)
+	}
+	err = syncFolder(folder)
+	if err != nil {
+		return nil, initial, fmt.Errorf("sync data folder: %w", err)
+	}
+	return s, disk, nil
+}
+
+func (s *Store[C, S, R]) path(kind string) string {
+	return filepath.Join(s.folder, s.group+"."+kind)
+}
+
+func (s *Store[C, S, R]) load(disk replicator.Disk[C, S]) (replicator.Disk[C, S], bool, error) {
+	found := false
+	snapshot, err := os.ReadFile(s.path("snapshot"))
+	if err == nil {
+		found = true
+		disk, err = s.loadSnapshot(disk, snapshot)
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return disk, found, fmt.Errorf("read snapshot: %w", err)
+	}
+	data, err := os.ReadFile(s.path("log"))
+	if errors.Is(err, os.ErrNotExist) {
+		return disk, found, nil
+	}
+	if err != nil {
+		return disk, found, fmt.Errorf("read log: %w", err)
+	}
+	payloads, whole, err := split(data)
+	if err != nil {
+		return disk, true, fmt.Errorf("%s at byte %d: %w", s.path("log"), whole, err)
+	}
+	if whole < len(data) {
+		err = os.Truncate(s.path("log"), int64(whole))
+		if err != nil {
+			return disk, true, fmt.Errorf("cut off torn write: %w", err)
+		}
+	}
+	for _, p := range payloads {
+		w, err := s.codec.UnmarshalWrite(p)
+		if err != nil {
+			return disk, true, fmt.Errorf("read log: %w", err)
+		}
+		disk = Replay(disk, w)
+	}
+	return disk, true, nil
+}
+
+func (s *Store[C, S, R]) loadSnapshot(disk replicator.Disk[C, S], data []byte) (replicator.Disk[C, S], error) {
+	payloads, whole, err := split(data)
+	if err != nil || len(payloads) != 1 || whole != len(data) {
+		return disk, fmt.Errorf("%s: %w", s.path("snapshot"), ErrCorrupt)
+	}
+	w, err := s.codec.UnmarshalWrite(payloads[0])
+	if err != nil {
+		return disk, fmt.Errorf("decode: %w", err)
+	}
+	disk.Term, disk.VotedFor = w.Term, w.VotedFor
+	if w.Snapshot != nil {
+		disk.Snapshot = *w.Snapshot
+	}
+	disk.Entries = nil
+	return disk, nil
+}
+
+// Replay is the disk after one more write.
+func Replay[C, S any](disk replicator.Disk[C, S], w replicator.Write[C, S]) replicator.Disk[C, S] {
+	disk.Term, disk.VotedFor = w.Term, w.VotedFor
+	if w.From == 0 {
+		return disk
+	}
+	kept := disk.Entries
+	for len(kept) > 0 && kept[len(kept)-1].Index >= w.From {
+		kept = kept[:len(kept)-1]
+	}
+	disk.Entries = append(slices.Clip(kept), w.Entries...)
+	return disk
+}
+
+// Append writes records without syncing them.
+func (s *Store[C, S, R]) Append(w replicator.Write[C, S]) error {
+	if w.Snapshot != nil {
+		err := s.rewrite(w)
+		if err != nil {
+			return fmt.Errorf("rewrite %s: %w", s.group, err)
+		}
+		return nil
+	}
+	data, err := s.codec.MarshalWrite(w)
+	if err != nil {
+		return fmt.Errorf("append to %s: %w", s.group, err)
+	}
+	_, err = s.log.Write(frame(data))
+	if err != nil {
+		return fmt.Errorf("append to %s: %w", s.group, err)
+	}
+	return nil
+}
+
+// Sync makes all that was appended last.
+func (s *Store[C, S, R]) Sync() error {
+	err := s.log.Sync()
+	if err != nil {
+		return fmt.Errorf("sync %s: %w", s.group, err)
+	}
+	return nil
+}
+
+// Close closes the files.
+func (s *Store[C, S, R]) Close() error {
+	err := s.log.Close()
+	if err != nil {
+		return fmt.Errorf("close %s: %w", s.group, err)
+	}
+	return nil
+}
+
+// rewrite replaces the snapshot and then the log. A crash between the two
+// leaves a log that begins before the snapshot, which a load passes over.
+func (s *Store[C, S, R]) rewrite(w replicator.Write[C, S]) error {
+	err := s.replace("snapshot", replicator.Write[C, S]{Term: w.Term, VotedFor: w.VotedFor, Snapshot: w.Snapshot})
+	if err != nil {
+		return fmt.Errorf("replace snapshot: %w", err)
+	}
+	err = s.replace("log", replicator.Write[C, S]{Term: w.Term, VotedFor: w.VotedFor, From: w.From, Entries: w.Entries})
+	if err != nil {
+		return fmt.Errorf("replace log: %w", err)
+	}
+	if s.log != nil {
+		err = s.log.Close()
+		if err != nil {
+			return fmt.Errorf("close old log: %w", err)
+		}
+	}
+	s.log, err = os.OpenFile(s.path("log"), os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return fmt.Errorf("open new log: %w", err)
+	}
+	return nil
+}
+
+func (s *Store[C, S, R]) replace(kind string, w replicator.Write[C, S]) error {
+	data, err := s.codec.MarshalWrite(w)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	return ReplaceFile(s.path(kind), frame(data))
+}
+
+// ReplaceFile replaces a file so that after a crash it holds the old or the new content.
+func ReplaceFile(path string, data []byte) error {
+	next := path + ".next"
+	f, err := os.OpenFile(next, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", next, err)
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	err = errors.Join(err, f.Close())
+	if err != nil {
+		return fmt.Errorf("write %s: %w", next, err)
+	}
+	err = os.Rename(next, path)
+	if err != nil {
+		return fmt.Errorf("put %s in place: %w", path, err)
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
+func syncFolder(path string) error {
+	d, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open folder: %w", err)
+	}
+	err = errors.Join(d.Sync(), d.Close())
+	if err != nil {
+		return fmt.Errorf("sync folder %s: %w", path, err)
+	}
+	return nil
+}
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -7,6 +7,7 @@
 	Name         string
 	Disk         string // identity of the disk, or of this run of a node without one
 	Durable      bool   // the node has a disk, so it can be a voter
+	Passive      bool   // the node neither votes nor follows: it only proposes
 	Peers        []Peer // the other nodes
 	Heartbeat    time.Duration
 	Election     time.Duration // shortest time without a leader before an election
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -78,6 +78,7 @@
 	Command  C
 	Result   R
 	Failed   bool // of ProposeReply: there is no leader here, nothing was proposed
+	Passed   bool // of Propose: it was passed on by a node that does not lead
 }
 
 // Write is what must be on disk before the messages behind it may go.
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -90,6 +90,9 @@
 	}
 	*s = s.withRetryTimer(r.now)
 	s.leader = ""
+	if s.cfg.Passive {
+		return
+	}
 	if s.IsVoter() {
 		r.preCampaign()
 		return
@@ -129,6 +132,7 @@
 	case Propose:
 		r.takeProposal(m)
 	case ProposeReply:
+		r.learnLeader(m)
 		r.out.Results = append(r.out.Results, Result[R]{Ticket: m.Ticket, Value: m.Result, Failed: m.Failed})
 	case Fetch:
 		r.answerFetch(m)
@@ -178,15 +182,51 @@
 		r.append(Entry[C]{Kind: CommandOf, Command: p.Command, Origin: s.cfg.Name, Ticket: p.Ticket})
 		return
 	}
-	if s.leader == "" {
+	to := s.leader
+	if s.cfg.Passive && to == "" {
+		to = r.anyVoter()
+	}
+	if to == "" {
 		r.out.Results = append(r.out.Results, Result[R]{Ticket: p.Ticket, Failed: true})
 		return
 	}
-	r.send(Message[C, S, R]{Kind: Propose, To: s.leader, Ticket: p.Ticket, Command: p.Command})
+	r.send(Message[C, S, R]{Kind: Propose, To: to, Ticket: p.Ticket, Command: p.Command})
+}
+
+// anyVoter draws a voter that may know the leader.
+func (r *round[C, S, R]) anyVoter() string {
+	var names []string
+	for _, p := range r.state.cfg.Peers {
+		if p.Voter {
+			names = append(names, p.Name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	r.state.draws++
+	return names[r.state.draws%uint64(len(names))]
+}
+
+// learnLeader keeps who answered, on a node that hears no leader.
+func (r *round[C, S, R]) learnLeader(m Message[C, S, R]) {
+	if !r.state.cfg.Passive {
+		return
+	}
+	r.state.leader = ""
+	if !m.Failed {
+		r.state.leader = m.From
+	}
 }
 
 func (r *round[C, S, R]) takeProposal(m Message[C, S, R]) {
-	if r.state.role != Leader {
+	s := r.state
+	if s.role != Leader && s.leader != "" && !m.Passed {
+		m.To, m.Passed = s.leader, true
+		r.out.Now = append(r.out.Now, m) // under the proposer's name: the leader answers it
+		return
+	}
+	if s.role != Leader {
 		r.send(Message[C, S, R]{Kind: ProposeReply, To: m.From, Ticket: m.Ticket, Failed: true})
 		return
 	}
