--- /dev/null
+++ b/cmd/laburnumctl/main.go
@@ -0,0 +1,67 @@
+// Command laburnumctl is the operator's and caller's tool.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
+)
+
+// version is set by the linker.
+var version = "development"
+
+// Exit codes.
+const (
+	exitFault    = 1 // the call failed
+	exitRefused  = 2 // it was refused: a conflict, a budget, bad input
+	exitOutcomes = 4 // a load lost, mixed up or doubled an answer
+)
+
+var (
+	errRefused  = eris.New("refused")
+	errOutcomes = eris.New("answers were lost or mixed up")
+)
+
+type commands struct {
+	Apply      applyCommand     `cmd:"" help:"Declare pools, services and customers from a file."`
+	Get        getCommand       `cmd:"" help:"Show what holds."`
+	Watch      watchCommand     `cmd:"" help:"Show what holds whenever it changes."`
+	Status     statusCommand    `cmd:"" help:"Show an entry instance's own state."`
+	Drain      drainCommand     `cmd:"" help:"Take an instance out of service, for maintenance or for another pool."`
+	Quarantine placeCommand     `cmd:"" help:"Put an instance aside."`
+	Release    releaseCommand   `cmd:"" help:"End a quarantine."`
+	Wave       waveCommand      `cmd:"" help:"Start or stop a maintenance of the whole fleet."`
+	Explain    explainCommand   `cmd:"" help:"Show why a request was placed or refused, or what became of an instance."`
+	Submit     submitCommand    `cmd:"" help:"Send one request."`
+	Load       loadCommand      `cmd:"" help:"Send a declared demand and report the outcomes."`
+	Standin    standinCommand   `cmd:"" help:"Run stand-in endpoints."`
+	Digest     digestCommand    `cmd:"" help:"Print the digest of a token from standard input, for a customer's tokenSha256."`
+	Version    kong.VersionFlag `help:"Print the version."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c,
+		kong.Name("laburnumctl"),
+		kong.Description("The operator's and caller's tool of laburnumwind.\n\nExamples:\n"+
+			"  laburnumctl apply -f fleet.jsonc\n  laburnumctl get instances -o json\n"+
+			"  laburnumctl wave start --max-failed 2\n  laburnumctl submit imaging --token-file school.token --data build.json"),
+		kong.Vars{"version": version},
+	)
+	err := ctx.Run()
+	switch {
+	case err == nil:
+	case errors.Is(err, errRefused):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitRefused)
+	case errors.Is(err, errOutcomes):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitOutcomes)
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFault)
+	}
+}
--- /dev/null
+++ b/driver/balancer.go
@@ -0,0 +1,77 @@
+package driver
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	readyEvery   = 100 * time.Millisecond
+	readyTimeout = time.Second
+)
+
+// balancer sends requests in turn to the entry instances that say that they are
+// ready, as the platform's balancer does.
+type balancer struct {
+	entries []string
+	ready   []atomic.Bool
+	next    atomic.Uint64
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func newBalancer(client *http.Client, entries []string) *balancer {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &balancer{entries: entries, ready: make([]atomic.Bool, len(entries)), cancel: cancel}
+	for i, entry := range entries {
+		b.ready[i].Store(isReady(ctx, client, entry))
+		b.done.Go(func() {
+			tick := time.NewTicker(readyEvery)
+			defer tick.Stop()
+			for {
+				select {
+				case <-tick.C:
+					b.ready[i].Store(isReady(ctx, client, entry))
+				case <-ctx.Done():
+					return
+				}
+			}
+		})
+	}
+	return b
+}
+
+// choose is the next entry instance that is ready, or just the next if none is.
+func (b *balancer) choose() string {
+	n := int(b.next.Add(1))
+	for i := range b.entries {
+		k := (n + i) % len(b.entries)
+		if b.ready[k].Load() {
+			return b.entries[k]
+		}
+	}
+	return b.entries[n%len(b.entries)]
+}
+
+func (b *balancer) stop() {
+	b.cancel()
+	b.done.Wait()
+}
+
+func isReady(ctx context.Context, client *http.Client, entry string) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, entry+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/loader/declarations.go
@@ -0,0 +1,38 @@
+package loader
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/tailscale/hujson"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"laburnumwind/encoder"
+)
+
+// LoadDeclarations reads a file of declarations: JSON with comments, unknown keys refused.
+func LoadDeclarations(path string) (*encoder.Declarations, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read declarations: %w", err)
+	}
+	return ParseDeclarations(path, data)
+}
+
+// ParseDeclarations reads the text of a file of declarations.
+func ParseDeclarations(file string, data []byte) (*encoder.Declarations, error) {
+	standard, err := hujson.Standardize(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	var d encoder.Declarations
+	err = protojson.Unmarshal(standard, &d)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	_, err = encoder.ToDeclarations(&d)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return &d, nil
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -68,6 +68,7 @@
 	Announce    time.Duration // least time between two announcements
 	LostAfter   time.Duration
 	Reboot      time.Duration // longest maintenance of one instance
+	Leave       time.Duration // for which a stopping instance is not ready and still takes requests
 	Stop        time.Duration // longest graceful stop
 }
 
@@ -165,6 +166,7 @@
 		duration("timing.announce", 100*time.Millisecond, time.Minute, `"1s"`, func(s *Settings) *time.Duration { return &s.Timing.Announce }),
 		duration("timing.lostAfter", time.Second, time.Hour, `"10s"`, func(s *Settings) *time.Duration { return &s.Timing.LostAfter }),
 		duration("timing.reboot", time.Second, 24*time.Hour, `"15m"`, func(s *Settings) *time.Duration { return &s.Timing.Reboot }),
+		duration("timing.leave", 0, time.Minute, `"1s"`, func(s *Settings) *time.Duration { return &s.Timing.Leave }),
 		duration("timing.stop", 0, time.Hour, `"30s"`, func(s *Settings) *time.Duration { return &s.Timing.Stop }),
 		{
 			Path: "log.level", Kind: Choice, OneOf: []string{"debug", "info", "warn", "error"}, Allowed: "debug, info, warn or error", Default: `"info"`,
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -50,6 +50,7 @@
 	view     atomic.Pointer[messenger.View]
 	lastID   atomic.Uint64
 	inFlight atomic.Int64
+	leaving  atomic.Bool
 	stopping atomic.Bool
 	mu       sync.Mutex
 	waiting  map[uint64]chan messenger.Answer
@@ -67,9 +68,12 @@
 
 // IsReady tells whether declarations are known and new requests are taken.
 func (v *Receiver) IsReady() bool {
-	return v.view.Load().State.Revision() > 0 && !v.stopping.Load()
+	return v.view.Load().State.Revision() > 0 && !v.leaving.Load()
 }
 
+// Leave makes the receiver not ready. It still takes what the balancer sends until that has noticed.
+func (v *Receiver) Leave() { v.leaving.Store(true) }
+
 // Stop makes the receiver refuse what is new.
 func (v *Receiver) Stop() { v.stopping.Store(true) }
 
--- a/server/server.go
+++ b/server/server.go
@@ -352,6 +352,13 @@
 func (s *Server) Stop() int64 {
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.Settings.Timing.Stop)
 	defer cancel()
+	s.receiver.Leave()
+	leave := time.NewTimer(s.cfg.Settings.Timing.Leave)
+	defer leave.Stop()
+	select {
+	case <-leave.C:
+	case <-ctx.Done():
+	}
 	s.receiver.Stop()
 	s.cfg.Log.Info().Int64("inFlight", s.receiver.InFlight()).Msg("stopping")
 	tick := time.NewTicker(stopPoll)
