Whole nodes on fake time under faults; mechanisms shown to be needed

experimenter drives real nodes over small fakes and injects faults by seed. Found by it: - a load told by another instance counted for ever: a cut-off zone that was once told 'full' never tried that endpoint again.

--- a/answerer/state.go
+++ b/answerer/state.go
@@ -12,7 +12,6 @@
 // State is the immutable value of an answerer.
 type State struct {
 	open *immutable.Map[uint64, bool] // requests without an answer
-	late int                          // answers that nobody waits for any more
 }
 
 // NewState returns an answerer without requests.
@@ -20,12 +19,6 @@
 	return State{open: immutable.NewMap[uint64, bool](nil)}
 }
 
-// Open is the number of requests without an answer.
-func (s State) Open() int { return s.open.Len() }
-
-// Late is the number of answers that came when nobody waited any more.
-func (s State) Late() int { return s.late }
-
 // Step takes one message.
 func (s State) Step(_ time.Time, body any) (State, []messenger.Message) {
 	switch m := body.(type) {
@@ -44,8 +37,12 @@
 func (s State) reply(id uint64, answer messenger.Answer) (State, []messenger.Message) {
 	_, ok := s.open.Get(id)
 	if !ok {
-		s.late++
-		return s, nil
+		return s, []messenger.Message{{To: messenger.Reporter, Body: messenger.Decision{
+			Stage:   messenger.Answerer,
+			What:    "late answer",
+			Request: id,
+			Reason:  "nobody waits for it any more",
+		}}}
 	}
 	s.open = s.open.Delete(id)
 	return s, []messenger.Message{{To: messenger.Receiver, Body: messenger.Reply{ID: id, Answer: answer}}}
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -151,7 +151,9 @@
 }
 
 func claimsStep(now time.Time, cfg Config, disk ClaimsDisk) func(time.Time, any) []messenger.Message {
-	cfg.Claims.Apply = claimer.Register.Apply
+	if cfg.Claims.Apply == nil {
+		cfg.Claims.Apply = claimer.Register.Apply
+	}
 	viewedAt := uint64(0)
 	leads := false
 	g := &group[claimer.Command, claimer.Register, claimer.Result]{
--- a/buffer/ring.go
+++ b/buffer/ring.go
@@ -91,21 +91,6 @@
 	return r.items
 }
 
-// Done is closed once the ring is.
-func (r *Ring[T]) Done() <-chan struct{} {
-	return r.closed
-}
-
-// Len is the number of items that wait.
-func (r *Ring[T]) Len() int {
-	return len(r.items)
-}
-
-// Cap is the number of items that the ring can hold.
-func (r *Ring[T]) Cap() int {
-	return cap(r.items)
-}
-
 // Close ends the ring; it may be called more than once.
 func (r *Ring[T]) Close() {
 	r.once.Do(func() { close(r.closed) })
--- a/cmd/laburnumctl/caller.go
+++ b/cmd/laburnumctl/caller.go
@@ -53,6 +53,7 @@
 	Timeout   time.Duration `default:"30s" help:"How long to wait."`
 }
 
+// Run runs the command.
 func (c submitCommand) Run() error {
 	token, err := readToken(c.TokenFile)
 	if err != nil {
@@ -107,6 +108,7 @@
 	} `json:"steps"`
 }
 
+// Run runs the command.
 func (c loadCommand) Run() error {
 	demands, err := readDemands(c.File)
 	if err != nil {
@@ -229,6 +231,7 @@
 	Seed        uint64        `default:"1" help:"Seed of the faults."`
 }
 
+// Run runs the command.
 func (c standinCommand) Run() error {
 	token, err := readToken(c.TokenFile)
 	if err != nil {
--- a/cmd/laburnumctl/operator.go
+++ b/cmd/laburnumctl/operator.go
@@ -77,6 +77,7 @@
 	Revision *uint64 `help:"Revision that the change expects; without it the present one."`
 }
 
+// Run runs the command.
 func (c applyCommand) Run() error {
 	d, err := loader.LoadDeclarations(c.File)
 	if err != nil {
@@ -110,6 +111,7 @@
 	Output string `short:"o" default:"table" enum:"table,json" help:"Form: table or json."`
 }
 
+// Run runs the command.
 func (c getCommand) Run() error {
 	client, err := c.client()
 	if err != nil {
@@ -127,6 +129,7 @@
 	Changes int `default:"0" help:"End after this many changes; 0 goes on."`
 }
 
+// Run runs the command.
 func (c watchCommand) Run() error {
 	client, err := c.client()
 	if err != nil {
@@ -156,6 +159,7 @@
 	Output string `short:"o" default:"table" enum:"table,json" help:"Form: table or json."`
 }
 
+// Run runs the command.
 func (c statusCommand) Run() error {
 	client, err := c.client()
 	if err != nil {
@@ -272,6 +276,7 @@
 	To       string `help:"Pool that it moves to; without it, it goes into maintenance."`
 }
 
+// Run runs the command.
 func (c drainCommand) Run() error { return move(c.target, c.change, "drain", c.Instance, c.To) }
 
 type placeCommand struct {
@@ -280,10 +285,12 @@
 	Instance string `arg:"" help:"Instance."`
 }
 
+// Run runs the command.
 func (c placeCommand) Run() error { return move(c.target, c.change, "quarantine", c.Instance, "") }
 
 type releaseCommand struct{ placeCommand }
 
+// Run runs the command.
 func (c releaseCommand) Run() error { return move(c.target, c.change, "release", c.Instance, "") }
 
 func move(t target, c change, action, instance, to string) error {
@@ -311,6 +318,7 @@
 	MaxFailed int64 `default:"1" help:"Instances that may fail before the wave stops by itself."`
 }
 
+// Run runs the command.
 func (c waveStartCommand) Run() error {
 	return maintain(c.target, &encoder.WaveRequest{Action: "start", MaxFailed: c.MaxFailed, Operator: c.Operator, ChangeId: c.id()})
 }
@@ -321,6 +329,7 @@
 	Wave uint64 `arg:"" help:"Number of the wave."`
 }
 
+// Run runs the command.
 func (c waveStopCommand) Run() error {
 	return maintain(c.target, &encoder.WaveRequest{Action: "stop", Wave: c.Wave, Operator: c.Operator, ChangeId: c.id()})
 }
@@ -339,6 +348,7 @@
 	Instance string `help:"Name of an instance."`
 }
 
+// Run runs the command.
 func (c explainCommand) Run() error {
 	client, err := c.client()
 	if err != nil {
@@ -356,6 +366,7 @@
 
 type digestCommand struct{}
 
+// Run runs the command.
 func (digestCommand) Run() error {
 	data, err := io.ReadAll(os.Stdin)
 	if err != nil {
--- a/cmd/laburnumd/main.go
+++ b/cmd/laburnumd/main.go
@@ -36,6 +36,7 @@
 	Dev      bool   `help:"Run one instance with an embedded voter in a temporary folder; no settings are needed."`
 }
 
+// Run runs the command.
 func (c runCommand) Run() error {
 	settings, clean, err := c.settings()
 	if err != nil {
@@ -87,6 +88,7 @@
 	Settings string `arg:"" type:"existingfile" help:"Settings file."`
 }
 
+// Run runs the command.
 func (c initCommand) Run() error {
 	s, err := loader.Load(c.Settings)
 	if err != nil {
@@ -102,6 +104,7 @@
 	Settings string `arg:"" type:"existingfile" help:"Settings file."`
 }
 
+// Run runs the command.
 func (c checkCommand) Run() error {
 	_, err := loader.Load(c.Settings)
 	if err != nil {
@@ -113,6 +116,7 @@
 
 type defaultsCommand struct{}
 
+// Run runs the command.
 func (defaultsCommand) Run() error {
 	fmt.Print(loader.Defaults())
 	return nil
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -102,7 +102,7 @@
 				sent.Add(1)
 				entry := balance.choose()
 				requests.Go(func() {
-					send(ctx, cfg, d, fmt.Sprintf("%s-%d-%d", cfg.Name, i, n), entry, due, t)
+					call{id: fmt.Sprintf("%s-%d-%d", cfg.Name, i, n), entry: entry, due: due}.send(ctx, cfg.Client, d, t)
 					answered.Add(1)
 				})
 			})
@@ -175,15 +175,22 @@
 	}
 }
 
-func send(ctx context.Context, cfg Config, d Demand, id, entry string, due time.Time, t *tally) {
+// call is one request of a demand.
+type call struct {
+	id    string
+	entry string
+	due   time.Time
+}
+
+func (c call) send(ctx context.Context, client *http.Client, d Demand, t *tally) {
 	deadline := d.Deadline
 	if deadline == 0 {
 		deadline = defaultDeadline
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline+clientGrace)
 	defer cancel()
-	body := append([]byte(id+" "), bytes.Repeat([]byte("x"), max(d.Bytes-len(id)-1, 0))...)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+receiver.PathServices+d.Service+"/work", bytes.NewReader(body))
+	body := append([]byte(c.id+" "), bytes.Repeat([]byte("x"), max(d.Bytes-len(c.id)-1, 0))...)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.entry+receiver.PathServices+d.Service+"/work", bytes.NewReader(body))
 	if err != nil {
 		t.add(func(r *Report) { r.Lost++ })
 		return
@@ -193,10 +200,10 @@
 	request.Header.Set("Priority", "u="+strconv.Itoa(d.Urgency))
 	request.Header.Set("Request-Timeout", strconv.FormatFloat(deadline.Seconds(), 'f', 3, 64))
 	if d.Keyed {
-		request.Header["Idempotency-Key"] = []string{id}
+		request.Header["Idempotency-Key"] = []string{c.id}
 		request.GetBody = nil // this client sends each request once
 	}
-	response, err := cfg.Client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		t.add(func(r *Report) { r.Lost++ })
 		return
@@ -207,7 +214,7 @@
 		t.add(func(r *Report) { r.Lost++ })
 		return
 	}
-	t.take(response.Header.Get(receiver.HeaderOutcome), bytes.Equal(got, body), time.Since(due))
+	t.take(response.Header.Get(receiver.HeaderOutcome), bytes.Equal(got, body), time.Since(c.due))
 }
 
 func (t *tally) add(change func(*Report)) {
--- a/emulator/contract.go
+++ b/emulator/contract.go
@@ -33,6 +33,7 @@
 	leaving     bool
 	attempts    *immutable.Map[string, attempt]
 	order       *immutable.List[string]
+	anyEpoch    bool // for proofs: epochs are not looked at
 }
 
 // NewState returns an endpoint that just started and belongs to no pool yet.
@@ -46,6 +47,12 @@
 	}
 }
 
+// WithoutEpochs returns the endpoint with its mechanism off, to show that it is needed.
+func (s State) WithoutEpochs() State {
+	s.anyEpoch = true
+	return s
+}
+
 // Call is what an entry instance says with an attempt.
 type Call struct {
 	Attempt  string
@@ -62,7 +69,7 @@
 	switch {
 	case s.leaving:
 		return s, messenger.IsLeaving
-	case c.Instance != instance || c.Epoch < s.epoch:
+	case c.Instance != instance || c.Epoch < s.epoch && !s.anyEpoch:
 		return s, messenger.WrongEpoch
 	case ok && known.state == forwarder.StateRevoked:
 		return s, messenger.IsRevoked
@@ -71,7 +78,7 @@
 	case c.Epoch > s.epoch:
 		s.epoch = c.Epoch
 		s.place = keeper.Serving.String()
-	case s.place != keeper.Serving.String():
+	case s.place != keeper.Serving.String() && !s.anyEpoch:
 		return s, messenger.WrongEpoch
 	}
 	if s.running >= s.slots {
@@ -157,3 +164,6 @@
 	}
 	return s
 }
+
+// Epoch is the epoch that the endpoint holds.
+func (s State) Epoch() uint64 { return s.epoch }
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -119,13 +119,6 @@
 // Address is where the endpoint listens.
 func (e *Endpoint) Address() string { return e.address }
 
-// Running is the number of slots in use.
-func (e *Endpoint) Running() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.state.running
-}
-
 // Turn turns the switches.
 func (e *Endpoint) Turn(f Faults) {
 	e.mu.Lock()
--- /dev/null
+++ b/experimenter/off_test.go
@@ -0,0 +1,114 @@
+package experimenter
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumwind/assembler"
+	"laburnumwind/claimer"
+	"laburnumwind/emulator"
+	"laburnumwind/keeper"
+	"laburnumwind/messenger"
+)
+
+// TestMechanismOff shows that each mechanism is needed: with it off the same
+// run breaks what must hold, and with it on nothing breaks.
+func TestMechanismOff(t *testing.T) {
+	tests := map[string]struct {
+		off  Config
+		act  func(w *World)
+		want string // part of what is broken
+	}{
+		"without claims a key starts twice": {
+			off: Config{Register: claimer.Register.WithoutExclusion},
+			act: func(w *World) {
+				for n := range 20 {
+					job := Job{Service: "build", Customer: "school", Key: fmt.Sprintf("k%d", n), Body: "b", Run: 100 * time.Millisecond}
+					w.Submit(w.Entry("a1"), job)
+					w.Submit(w.Entry("b1"), job)
+				}
+				w.RunFor(5 * time.Second)
+			},
+			want: "started on",
+		},
+		"without epochs a cut-off zone uses an instance of another pool": {
+			off: Config{Contract: emulator.State.WithoutEpochs},
+			act: func(w *World) {
+				leader := w.Leader()
+				old := w.Entry("a1")
+				if leader.Zone == old.Zone {
+					old = w.Entry("b1")
+				}
+				k := w.workers[len(w.workers)-1]
+				if k.Zone == old.Zone {
+					k = w.workers[0]
+				}
+				i, _ := leader.view.State.Instance(k.Name)
+				target := "build"
+				if i.Pool == target {
+					target = "seed"
+				}
+				w.RunFor(announceEvery)
+				for _, e := range w.entries {
+					e.Isolate(e.Zone == old.Zone) // it hears nothing of the move and still thinks the endpoint alive
+				}
+				w.Propose(leader, keeper.Command{Kind: keeper.Drain, Proposer: "operator", ChangeID: "move", Instance: i, Target: target})
+				w.RunFor(2200 * time.Millisecond)
+				for n := range 40 { // enough to reach the moved instance
+					w.Submit(leader, Job{Service: target, Customer: "school", Body: fmt.Sprintf("new %d", n), Run: 50 * time.Millisecond})
+				}
+				w.RunFor(100 * time.Millisecond)
+				for n := range 120 {
+					w.Submit(old, Job{Service: i.Pool, Customer: "school", Body: fmt.Sprintf("old %d", n), Run: 300 * time.Millisecond})
+				}
+				w.RunFor(time.Second)
+			},
+			want: "after epoch",
+		},
+		"without budgets a wave takes more down than is allowed": {
+			off: Config{Declared: keeper.State.WithoutBudgets},
+			act: func(w *World) {
+				w.Propose(w.entries[0], keeper.Command{Kind: keeper.StartWave, Proposer: "operator", ChangeID: "wave"})
+				w.RunFor(20 * time.Second)
+			},
+			want: "drain of",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			tc.off.Seed = 1
+			off := newFleet(tc.off)
+			tc.act(off)
+			off.Heal()
+			off.RunFor(20 * time.Second)
+			off.Check()
+			must.True(t, strings.Contains(strings.Join(off.Broken, "\n"), tc.want), must.Sprintf("off: %d broken", len(off.Broken)))
+			t.Logf("as expected: %s", off.Broken[0])
+
+			on := newFleet(Config{Seed: 1})
+			tc.act(on)
+			on.finish(t)
+		})
+	}
+}
+
+// TestEjection compares the failures that callers see with and without ejection.
+func TestEjection(t *testing.T) {
+	failures := func(noEject bool) int {
+		w := newFleet(Config{Seed: 3, Change: func(cfg *assembler.Config) { cfg.Placer.NoEject = noEject }})
+		w.workers[0].Fail = true
+		for range 60 {
+			w.callSome(10)
+			w.RunFor(250 * time.Millisecond)
+		}
+		w.finish(t)
+		return w.answered(messenger.Failed)
+	}
+	off, on := failures(true), failures(false)
+	t.Logf("of 600 requests failed: %d without ejection, %d with it", off, on)
+	must.Less(t, off/2, on)
+}
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -40,6 +40,9 @@
 // DrainRefusal says why an instance cannot be drained now; it is empty if it can.
 // Failures have already spent from the budget; one more correlated loss stays in reserve.
 func (s State) DrainRefusal(now time.Time, i Instance) string {
+	if s.unbounded {
+		return ""
+	}
 	down, reserve := s.downAndReserve(i.Pool, i.Name)
 	for _, c := range s.owed(i.Pool) {
 		need := down + 1 + reserve
--- a/keeper/check.go
+++ b/keeper/check.go
@@ -53,6 +53,12 @@
 		if i.Epoch < old.Epoch || (i.Epoch == old.Epoch && (i.Place != old.Place || i.Pool != old.Pool)) {
 			return fmt.Errorf("instance %s changed under epoch %d: %w", name, old.Epoch, ErrInvariant)
 		}
+		if old.Place == Serving && i.Place == Draining {
+			err := after.checkDrain(i)
+			if err != nil {
+				return err
+			}
+		}
 		if i.Pool != old.Pool && old.Pool != "" && old.Place == Serving {
 			return fmt.Errorf("instance %s left pool %s without a drain: %w", name, old.Pool, ErrInvariant)
 		}
@@ -60,6 +66,18 @@
 	return nil
 }
 
+// checkDrain tells whether the budgets of a pool hold after a drain, with the loss of one more rack.
+func (s State) checkDrain(i Instance) error {
+	down, reserve := s.downAndReserve(i.Pool, "")
+	for _, c := range s.owed(i.Pool) {
+		if down+reserve > c.Budget.MaxDown {
+			return fmt.Errorf("drain of %s: %d down and %d in reserve, customer %s allows %d: %w",
+				i.Name, down, reserve, c.Name, c.Budget.MaxDown, ErrInvariant)
+		}
+	}
+	return nil
+}
+
 // Validate tells whether declarations can follow the present state.
 func (s State) Validate(d Declarations) error {
 	pools := make(map[string]bool)
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -24,6 +24,7 @@
 	accounts     *immutable.SortedMap[string, Account]
 	changes      *immutable.SortedMap[string, Remembered]
 	wave         Wave
+	unbounded    bool          // for proofs: budgets forbid nothing
 	maintained   time.Duration // running mean of the time an instance is down for its maintenance
 }
 
@@ -40,6 +41,12 @@
 	}
 }
 
+// WithoutBudgets returns the state with its mechanism off, to show that it is needed.
+func (s State) WithoutBudgets() State {
+	s.unbounded = true
+	return s
+}
+
 // Revision is the number of the present declarations; zero means that there are none.
 func (s State) Revision() uint64 { return s.revision }
 
--- a/placer/state.go
+++ b/placer/state.go
@@ -50,12 +50,6 @@
 	}
 }
 
-// InFlight is the number of attempts of this instance on an endpoint.
-func (s State) InFlight(instance string) int {
-	w, _ := s.workers.Get(instance)
-	return w.inFlight
-}
-
 // IsEjected tells whether an endpoint gets no work because of its failures.
 func (s State) IsEjected(now time.Time, instance string) bool {
 	w, _ := s.workers.Get(instance)
--- a/placer/turn.go
+++ b/placer/turn.go
@@ -162,7 +162,7 @@
 	}
 	w = w.withInFlight(-1)
 	if x.InUse >= 0 {
-		w = w.withInUse(x.InUse)
+		w = w.withInUse(t.now, x.InUse)
 	}
 	if x.Reason == messenger.IsLeaving || x.Reason == messenger.WrongEpoch {
 		w = w.withLeaving(true) // until the next announcement says otherwise
@@ -230,7 +230,7 @@
 	if !ok {
 		return
 	}
-	t.state = t.state.withWorker(w.withInUse(m.InUse).withLeaving(m.Leaving))
+	t.state = t.state.withWorker(w.withInUse(t.now, m.InUse).withLeaving(m.Leaving))
 	t.unblock()
 }
 
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -13,7 +13,8 @@
 	ejectFraction   = 3   // at most one in this many endpoints of a pool is ejected
 	firstEjection   = 10 * time.Second
 	longestEjection = 5 * time.Minute
-	probationRuns   = 3 // good results that end a probation
+	probationRuns   = 3               // good results that end a probation
+	staleLoad       = 3 * time.Second // age at which the load told by others no longer counts
 )
 
 // worker is an endpoint as this instance sees it.
@@ -23,6 +24,7 @@
 	leaving  bool
 	inFlight int // attempts of this instance
 	others   int // slots in use by other instances, as last told
+	toldAt   time.Time
 	health   health
 }
 
@@ -35,8 +37,14 @@
 	probation    int // good results still needed
 }
 
-func (w worker) room() int {
-	room := w.endpoint.Slots - w.inFlight - w.others
+// room is the number of slots that are free as far as is known. Old news does
+// not count: an instance that hears nothing would wait for ever, while the
+// endpoint itself says when it is full.
+func (w worker) room(now time.Time) int {
+	room := w.endpoint.Slots - w.inFlight
+	if now.Sub(w.toldAt) < staleLoad {
+		room -= w.others
+	}
 	if w.endpoint.Connections > 0 {
 		room = min(room, w.endpoint.Connections-w.inFlight)
 	}
@@ -47,7 +55,7 @@
 }
 
 func (w worker) isOpen(now time.Time) bool {
-	return w.up && !w.leaving && !now.Before(w.health.ejectedUntil) && w.room() > 0
+	return w.up && !w.leaving && !now.Before(w.health.ejectedUntil) && w.room(now) > 0
 }
 
 func (w worker) used() float64 {
@@ -60,7 +68,8 @@
 }
 
 // withInUse takes the endpoint's own word on the slots in use.
-func (w worker) withInUse(inUse int) worker {
+func (w worker) withInUse(now time.Time, inUse int) worker {
+	w.toldAt = now
 	w.others = max(inUse-w.inFlight, 0)
 	return w
 }
--- a/recorder/store.go
+++ b/recorder/store.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
 
 	"laburnumwind/encoder"
 	"laburnumwind/replicator"
@@ -95,7 +94,7 @@
 		if err != nil {
 			return disk, true, fmt.Errorf("read log: %w", err)
 		}
-		disk = Replay(disk, w)
+		disk = disk.WithWrite(w)
 	}
 	return disk, true, nil
 }
@@ -117,20 +116,6 @@
 	return disk, nil
 }
 
-// Replay is the disk after one more write.
-func Replay[C, S any](disk replicator.Disk[C, S], w replicator.Write[C, S]) replicator.Disk[C, S] {
-	disk.Term, disk.VotedFor = w.Term, w.VotedFor
-	if w.From == 0 {
-		return disk
-	}
-	kept := disk.Entries
-	for len(kept) > 0 && kept[len(kept)-1].Index >= w.From {
-		kept = kept[:len(kept)-1]
-	}
-	disk.Entries = append(slices.Clip(kept), w.Entries...)
-	return disk
-}
-
 // Append writes records without syncing them.
 func (s *Store[C, S, R]) Append(w replicator.Write[C, S]) error {
 	if w.Snapshot != nil {
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"sort"
 	"time"
+
+	"laburnumwind/scheduler"
 )
 
 // tally is the state machine of the tests: the commands in order.
@@ -19,7 +19,6 @@
 	simMessage = Message[uint64, tally, int]
 	simConfig  = Config[uint64, tally, int]
 	simDisk    = Disk[uint64, tally]
-	simWrite   = Write[uint64, tally]
 	simEffects = Effects[uint64, tally, int]
 )
 
@@ -34,20 +33,12 @@
 	run     int
 }
 
-type simEvent struct {
-	at  time.Duration
-	seq int
-	act func()
-}
-
 // sim drives a group by a seed: messages that are late, lost, doubled or
 // reordered, cuts, crashes that lose unsynced writes, lost disks and freezes.
 type sim struct {
-	seed    uint64
-	rand    *rand.Rand
-	now     time.Duration
-	seq     int
-	events  []simEvent
+	seed uint64
+	rand *rand.Rand
+	*scheduler.Scheduler
 	nodes   map[string]*simNode
 	names   []string
 	cut     map[[2]string]bool
@@ -62,14 +53,15 @@
 
 func newSim(seed uint64, voters, learners int, change func(*simConfig)) *sim {
 	s := &sim{
-		seed:    seed,
-		rand:    rand.New(rand.NewPCG(seed, 7)),
-		nodes:   make(map[string]*simNode),
-		cut:     make(map[[2]string]bool),
-		applied: make(map[int]uint64),
-		acked:   make(map[uint64]int),
-		leaders: make(map[uint64]string),
-		faults:  make(map[string]int),
+		Scheduler: scheduler.NewScheduler(time.Unix(1_000_000, 0)),
+		seed:      seed,
+		rand:      rand.New(rand.NewPCG(seed, 7)),
+		nodes:     make(map[string]*simNode),
+		cut:       make(map[[2]string]bool),
+		applied:   make(map[int]uint64),
+		acked:     make(map[uint64]int),
+		leaders:   make(map[uint64]string),
+		faults:    make(map[string]int),
 	}
 	var members []Member
 	for i := range voters + learners {
@@ -95,40 +87,13 @@
 		}
 		s.nodes[name] = n
 		s.start(n)
-		s.tickLater(n)
+		s.Every(20*time.Millisecond, func() { s.tick(n) })
 	}
 	return s
 }
 
-func (s *sim) time() time.Time { return time.Unix(1_000_000, 0).Add(s.now) }
-
 func (s *sim) fail(format string, args ...any) {
-	s.errs = append(s.errs, fmt.Sprintf("seed %d at %s: ", s.seed, s.now)+fmt.Sprintf(format, args...))
-}
-
-func (s *sim) after(d time.Duration, act func()) {
-	s.seq++
-	s.events = append(s.events, simEvent{at: s.now + d, seq: s.seq, act: act})
-}
-
-func (s *sim) runFor(d time.Duration) {
-	end := s.now + d
-	for {
-		sort.Slice(s.events, func(i, k int) bool {
-			if s.events[i].at != s.events[k].at {
-				return s.events[i].at < s.events[k].at
-			}
-			return s.events[i].seq < s.events[k].seq
-		})
-		if len(s.events) == 0 || s.events[0].at > end {
-			s.now = end
-			return
-		}
-		e := s.events[0]
-		s.events = s.events[1:]
-		s.now = e.at
-		e.act()
-	}
+	s.errs = append(s.errs, fmt.Sprintf("seed %d at %s: ", s.seed, s.Now().Format(time.TimeOnly))+fmt.Sprintf(format, args...))
 }
 
 func (s *sim) start(n *simNode) {
@@ -149,17 +114,14 @@
 		s.applied[t.count] = c
 		return t, t.count
 	}
-	n.state = NewState(s.time(), n.cfg, n.synced)
+	n.state = NewState(s.Now(), n.cfg, n.synced)
 }
 
-func (s *sim) tickLater(n *simNode) {
-	s.after(20*time.Millisecond, func() {
-		if n.alive && !n.frozen {
-			next, out := n.state.Tick(s.time())
-			s.took(n, next, out)
-		}
-		s.tickLater(n)
-	})
+func (s *sim) tick(n *simNode) {
+	if n.alive && !n.frozen {
+		next, out := n.state.Tick(s.Now())
+		s.took(n, next, out)
+	}
 }
 
 // took takes the effects of a step over to the fakes.
@@ -189,7 +151,7 @@
 	}
 	n.pending = append(n.pending, out)
 	run := n.run
-	s.after(time.Duration(s.rand.IntN(4_000))*time.Microsecond, func() {
+	s.After(time.Duration(s.rand.IntN(4_000))*time.Microsecond, func() {
 		if n.alive && n.run == run && len(n.pending) > 0 {
 			s.sync(n)
 		}
@@ -200,7 +162,7 @@
 	var holders []string
 	for _, name := range s.names {
 		n := s.nodes[name]
-		if n.alive && n.state.HoldsLease(s.time()) {
+		if n.alive && n.state.HoldsLease(s.Now()) {
 			holders = append(holders, name)
 		}
 	}
@@ -217,7 +179,7 @@
 	var last *Entry[uint64]
 	for _, out := range batch {
 		if out.Write != nil {
-			n.synced = written(n.synced, *out.Write)
+			n.synced = n.synced.WithWrite(*out.Write)
 			if len(out.Write.Entries) > 0 {
 				last = &out.Write.Entries[len(out.Write.Entries)-1]
 			}
@@ -229,25 +191,10 @@
 	if last == nil {
 		return
 	}
-	next, out := n.state.Persisted(s.time(), Persisted{Index: last.Index, Term: last.Term})
+	next, out := n.state.Persisted(s.Now(), Persisted{Index: last.Index, Term: last.Term})
 	s.took(n, next, out)
 }
 
-func written(d simDisk, w simWrite) simDisk {
-	d.Term, d.VotedFor = w.Term, w.VotedFor
-	if w.Snapshot != nil {
-		d.Snapshot = *w.Snapshot
-		d.Entries = slices.Clone(w.Entries)
-		return d
-	}
-	if w.From == 0 {
-		return d
-	}
-	kept := slices.DeleteFunc(slices.Clone(d.Entries), func(e Entry[uint64]) bool { return e.Index >= w.From })
-	d.Entries = append(kept, w.Entries...)
-	return d
-}
-
 func (s *sim) deliver(m simMessage) {
 	if s.cut[[2]string{m.From, m.To}] {
 		s.faults["messages cut"]++
@@ -268,13 +215,13 @@
 			s.faults["messages late"]++
 			delay += time.Duration(s.rand.IntN(3_000)) * time.Millisecond
 		}
-		s.after(delay, func() {
+		s.After(delay, func() {
 			n := s.nodes[m.To]
 			if !n.alive {
 				return
 			}
 			if n.frozen {
-				s.after(100*time.Millisecond, func() { s.receive(n, m) })
+				s.After(100*time.Millisecond, func() { s.receive(n, m) })
 				return
 			}
 			s.receive(n, m)
@@ -286,7 +233,7 @@
 	if !n.alive || n.frozen {
 		return
 	}
-	next, out := n.state.Receive(s.time(), m)
+	next, out := n.state.Receive(s.Now(), m)
 	s.took(n, next, out)
 }
 
@@ -296,7 +243,7 @@
 		return 0
 	}
 	s.next++
-	next, out := n.state.Propose(s.time(), Proposal[uint64]{Ticket: s.next, Command: s.next})
+	next, out := n.state.Propose(s.Now(), Proposal[uint64]{Ticket: s.next, Command: s.next})
 	s.took(n, next, out)
 	return s.next
 }
@@ -339,7 +286,7 @@
 func (s *sim) leader() string {
 	for _, name := range s.names {
 		n := s.nodes[name]
-		if n.alive && !n.frozen && n.state.HoldsLease(s.time()) {
+		if n.alive && !n.frozen && n.state.HoldsLease(s.Now()) {
 			return name
 		}
 	}
@@ -354,7 +301,7 @@
 		s.nodes[name].frozen = false
 		s.restart(name)
 	}
-	s.runFor(20 * time.Second)
+	s.RunFor(20 * time.Second)
 }
 
 // checkEnd checks that nothing acknowledged was lost and that all nodes agree.
--- a/replicator/state.go
+++ b/replicator/state.go
@@ -19,11 +19,6 @@
 	Leader
 )
 
-// String is the name of the role in lower camel case.
-func (r Role) String() string {
-	return [...]string{"follower", "preCandidate", "candidate", "leader"}[r]
-}
-
 // progress is what a leader knows of one other node.
 type progress struct {
 	name    string
@@ -56,7 +51,6 @@
 	electAt    time.Time // when to call an election
 	leaderSent time.Time // the leader's time in its last message
 	freshAt    time.Time // own time until which the copy was surely fresh, less the span
-	fetchAt    time.Time // when a node without a leader last asked for a snapshot
 	votes      []string
 	peers      []progress
 	termStart  uint64 // index of the entry that opened the leader's term
@@ -76,6 +70,25 @@
 	Entries  []Entry[C]
 }
 
+// WithWrite returns the disk after one more write.
+func (d Disk[C, S]) WithWrite(w Write[C, S]) Disk[C, S] {
+	d.Term, d.VotedFor = w.Term, w.VotedFor
+	if w.Snapshot != nil {
+		d.Snapshot = *w.Snapshot
+		d.Entries = slices.Clone(w.Entries)
+		return d
+	}
+	if w.From == 0 {
+		return d
+	}
+	kept := d.Entries
+	for len(kept) > 0 && kept[len(kept)-1].Index >= w.From {
+		kept = kept[:len(kept)-1]
+	}
+	d.Entries = append(slices.Clip(kept), w.Entries...)
+	return d
+}
+
 // NewState returns a node that starts with what is on its disk.
 func NewState[C, S, R any](now time.Time, cfg Config[C, S, R], disk Disk[C, S]) State[C, S, R] {
 	cfg = cfg.WithDefaults()
@@ -155,9 +168,6 @@
 	return !s.freshAt.IsZero() && now.Sub(s.freshAt) < s.cfg.Fresh
 }
 
-// FreshAt is the last time at which the copy was surely the present one.
-func (s State[C, S, R]) FreshAt() time.Time { return s.freshAt }
-
 func (s State[C, S, R]) lastIndex() uint64 {
 	return s.base + uint64(s.entries.Len())
 }
--- a/replicator/state_test.go
+++ b/replicator/state_test.go
@@ -18,33 +18,33 @@
 		"no fault": {voters: 3, learners: 3, act: func(*sim) {}},
 		"the leader dies": {voters: 3, act: func(s *sim) {
 			s.crash(s.leader())
-			s.runFor(2 * time.Second)
+			s.RunFor(2 * time.Second)
 			s.propose(s.leader())
 		}},
 		"the leader is cut off and comes back": {voters: 3, learners: 1, act: func(s *sim) {
 			old := s.leader()
 			s.isolate(old, true)
 			s.propose(old) // cannot be committed
-			s.runFor(3 * time.Second)
+			s.RunFor(3 * time.Second)
 			s.propose(s.leader())
-			s.runFor(time.Second)
+			s.RunFor(time.Second)
 			s.isolate(old, false)
 		}},
 		"a voter loses its disk": {voters: 3, act: func(s *sim) {
 			s.crash("n1")
 			s.loseDisk("n1")
-			s.runFor(time.Second)
+			s.RunFor(time.Second)
 			s.restart("n1")
 		}},
 		"a second loss right after a repair": {voters: 3, act: func(s *sim) {
 			s.crash("n1")
 			s.loseDisk("n1")
-			s.runFor(2 * time.Second)
+			s.RunFor(2 * time.Second)
 			s.restart("n1")
-			s.runFor(2 * time.Second)
+			s.RunFor(2 * time.Second)
 			s.crash("n2")
 			s.loseDisk("n2")
-			s.runFor(2 * time.Second)
+			s.RunFor(2 * time.Second)
 			s.restart("n2")
 		}},
 		"a second loss during a repair": {voters: 3, act: func(s *sim) {
@@ -52,25 +52,25 @@
 			s.loseDisk("n1")
 			s.crash("n2")
 			s.restart("n1")
-			s.runFor(3 * time.Second)
+			s.RunFor(3 * time.Second)
 		}},
 		"a frozen leader wakes": {voters: 3, act: func(s *sim) {
 			old := s.leader()
 			s.faults["freeze"]++
 			s.nodes[old].frozen = true
-			s.runFor(4 * time.Second)
+			s.RunFor(4 * time.Second)
 			s.nodes[old].frozen = false
 			s.propose(old)
 		}},
 		"all restart after hundreds of entries": {voters: 3, learners: 2, act: func(s *sim) {
 			for range 500 {
 				s.propose(s.names[s.rand.IntN(len(s.names))])
-				s.runFor(5 * time.Millisecond)
+				s.RunFor(5 * time.Millisecond)
 			}
 			for _, name := range s.names {
 				s.crash(name)
 			}
-			s.runFor(time.Second)
+			s.RunFor(time.Second)
 		}},
 		"one way cut of a voter": {voters: 3, act: func(s *sim) {
 			s.faults["cut"]++
@@ -78,17 +78,17 @@
 			for _, other := range s.names {
 				s.cut[[2]string{other, old}] = true // it is heard and hears nothing
 			}
-			s.runFor(3 * time.Second)
+			s.RunFor(3 * time.Second)
 		}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(*seeds) {
 				s := newSim(seed+1, tc.voters, tc.learners, nil)
-				s.runFor(3 * time.Second)
+				s.RunFor(3 * time.Second)
 				for range 20 {
 					s.propose(s.names[s.rand.IntN(len(s.names))])
-					s.runFor(10 * time.Millisecond)
+					s.RunFor(10 * time.Millisecond)
 				}
 				tc.act(s)
 				s.heal()
@@ -102,7 +102,7 @@
 
 // chaos lets faults of all kinds come at any moment, together or twice.
 func chaos(s *sim, steps int) {
-	s.runFor(2 * time.Second)
+	s.RunFor(2 * time.Second)
 	s.loss = 0.02
 	for range steps {
 		name := s.names[s.rand.IntN(len(s.names))]
@@ -128,7 +128,7 @@
 		default:
 			s.propose(name)
 		}
-		s.runFor(time.Duration(s.rand.IntN(300)) * time.Millisecond)
+		s.RunFor(time.Duration(s.rand.IntN(300)) * time.Millisecond)
 	}
 	s.heal()
 	s.checkEnd()
@@ -159,13 +159,13 @@
 	var worst time.Duration
 	for seed := range uint64(*seeds) {
 		s := newSim(seed+1, 3, 6, nil)
-		s.runFor(3 * time.Second)
+		s.RunFor(3 * time.Second)
 		s.crash(s.leader())
-		lost := s.now
-		for s.leader() == "" && s.now-lost < 2*target {
-			s.runFor(5 * time.Millisecond)
+		lost := s.Now()
+		for s.leader() == "" && s.Now().Sub(lost) < 2*target {
+			s.RunFor(5 * time.Millisecond)
 		}
-		worst = max(worst, s.now-lost)
+		worst = max(worst, s.Now().Sub(lost))
 	}
 	t.Logf("%d seeds, the longest time without a leader is %s", *seeds, worst)
 	must.Less(t, target, worst)
@@ -196,7 +196,7 @@
 		"votes while a leader is heard break the lease": {
 			change: func(cfg *simConfig) { cfg.NoStickiness = true },
 			act: func(s *sim) {
-				s.runFor(2 * time.Second)
+				s.RunFor(2 * time.Second)
 				old := s.leader()
 				other := s.names[0]
 				if old == other {
@@ -204,7 +204,7 @@
 				}
 				s.cut[[2]string{old, other}] = true
 				s.cut[[2]string{other, old}] = true
-				s.runFor(4 * time.Second)
+				s.RunFor(4 * time.Second)
 				s.heal()
 				s.checkEnd()
 			},
@@ -212,22 +212,22 @@
 		"an empty disk that votes loses entries": {
 			change: func(cfg *simConfig) { cfg.ForgetIdentity = true },
 			act: func(s *sim) {
-				s.runFor(2 * time.Second)
+				s.RunFor(2 * time.Second)
 				s.isolate("n2", true)
-				s.runFor(3 * time.Second)
+				s.RunFor(3 * time.Second)
 				for range 5 {
 					s.propose(s.leader())
-					s.runFor(50 * time.Millisecond)
+					s.RunFor(50 * time.Millisecond)
 				}
 				s.crash("n1")
 				s.loseDisk("n1")
 				s.crash("n0")
 				s.isolate("n2", false)
 				s.restart("n1")
-				s.runFor(5 * time.Second)
+				s.RunFor(5 * time.Second)
 				s.propose("n2")
 				s.propose("n1")
-				s.runFor(time.Second)
+				s.RunFor(time.Second)
 				s.heal()
 				s.checkEnd()
 			},
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -84,9 +84,6 @@
 	return max(s.cfg.LeastInterval, needed)
 }
 
-// Roster is every endpoint that may get requests now.
-func (s State) Roster() []messenger.Endpoint { return s.roster }
-
 // Step takes one message.
 func (s State) Step(now time.Time, body any) (State, []messenger.Message) {
 	t := &turn{state: s, now: now}
