--- a/assembler/node.go
+++ b/assembler/node.go
@@ -133,8 +133,8 @@
 		},
 	}
 	g.views = func(now time.Time, s DeclarationsState, _ bool) []messenger.Message {
-		view := messenger.View{State: s.Machine(), Leads: s.HoldsLease(now), Fresh: s.IsFresh(now), Leader: s.LeaderName()}
-		same := s.Applied() == viewedAt && view.Leads == last.Leads && view.Fresh == last.Fresh && view.Leader == last.Leader
+		view := messenger.View{State: s.Machine(), Leads: s.HoldsLease(now), Fresh: s.IsFresh(now), Votes: s.IsVoter(), Leader: s.LeaderName()}
+		same := s.Applied() == viewedAt && view.Leads == last.Leads && view.Fresh == last.Fresh && view.Votes == last.Votes && view.Leader == last.Leader
 		if same {
 			return nil
 		}
--- a/cmd/laburnumctl/operator.go
+++ b/cmd/laburnumctl/operator.go
@@ -176,7 +176,8 @@
 	if !status.GetFresh() {
 		state = "isolated: its copy may be old, and it can neither grant a drain nor start claimed work"
 	}
-	fmt.Printf("instance %s, zone %s\nleader %s\nrevision %d, %s\n", status.GetName(), status.GetZone(), status.GetLeader(), status.GetRevision(), state)
+	fmt.Printf("instance %s, zone %s, votes %t\nleader %s\nrevision %d, %s\n",
+		status.GetName(), status.GetZone(), status.GetVotes(), status.GetLeader(), status.GetRevision(), state)
 	return nil
 }
 
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -220,6 +220,7 @@
 	State  keeper.State
 	Leads  bool // this node leads the declarations and holds its lease
 	Fresh  bool // the copy was the present one a short while ago
+	Votes  bool // this node is a voter
 	Leader string
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -205,6 +205,7 @@
 		Leader:       view.Leader,
 		Leads:        view.Leads,
 		Fresh:        view.Fresh,
+		Votes:        view.Votes,
 		Revision:     s.Revision(),
 		Version:      version,
 		Declarations: encoder.FromDeclarations(s.Declarations()),
--- /dev/null
+++ b/server/fleet_test.go
@@ -0,0 +1,282 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumwind/authenticator"
+	"laburnumwind/emulator"
+	"laburnumwind/encoder"
+	"laburnumwind/loader"
+)
+
+const (
+	testToken = "token-of-the-tests-0123456789"
+	stateWait = 30 * time.Second
+)
+
+// testFleet is several daemons as processes, and endpoints inside the test.
+type testFleet struct {
+	t         *testing.T
+	folder    string
+	daemons   []*testDaemon
+	endpoints []*emulator.Endpoint
+	mu        sync.Mutex
+	starts    map[string]int
+}
+
+type testDaemon struct {
+	fleet    *testFleet
+	settings string
+	set      loader.Settings
+	cmd      *exec.Cmd
+}
+
+var daemonBinary = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "laburnumd-test-")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(folder, "laburnumd")
+	out, err := exec.Command("go", "build", "-o", path, "laburnumwind/cmd/laburnumd").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%s: %w", out, err)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	path, err := daemonBinary()
+	if err == nil {
+		_ = os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newTestFleet writes the settings of three voters, one a zone, and one instance without a disk.
+func newTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, folder: t.TempDir(), starts: make(map[string]int)}
+	must.NoError(t, os.WriteFile(filepath.Join(f.folder, "token"), []byte(testToken+"\n"), 0o600))
+	names := []string{"a1", "b1", "c1", "a2"}
+	var peers []string
+	addresses := make(map[string]string)
+	for i, name := range names {
+		addresses[name] = freeAddress(t)
+		peers = append(peers, fmt.Sprintf(`{"name": %q, "zone": %q, "address": %q, "voter": %t}`, name, name[:1], addresses[name], i < 3))
+	}
+	for i, name := range names {
+		data := ""
+		if i < 3 {
+			data = "data-" + name
+		}
+		text := fmt.Sprintf(`{
+  "name": %q, "zone": %q, "dataFolder": %q,
+  "listen": {"callers": %q, "endpoints": %q, "operators": %q, "peers": %q},
+  "peers": [%s],
+  "tokens": {"endpoints": "token", "operators": "token", "peers": "token"},
+  "timing": {"leave": "200ms", "lostAfter": "3s"},
+  "log": {"level": "warn"},
+}`, name, name[:1], data, freeAddress(t), freeAddress(t), freeAddress(t), addresses[name], strings.Join(peers, ", "))
+		path := filepath.Join(f.folder, name+".jsonc")
+		must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		set, err := loader.Load(path)
+		must.NoError(t, err)
+		f.daemons = append(f.daemons, &testDaemon{fleet: f, settings: path, set: set})
+		if i < 3 {
+			must.NoError(t, Init(set))
+		}
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *testFleet) stop() {
+	for _, e := range f.endpoints {
+		e.Kill()
+	}
+	for _, d := range f.daemons {
+		d.kill()
+	}
+}
+
+func (f *testFleet) startAll() {
+	for _, d := range f.daemons {
+		d.start()
+	}
+}
+
+func (d *testDaemon) start() {
+	path, err := daemonBinary()
+	must.NoError(d.fleet.t, err)
+	d.cmd = exec.Command(path, d.settings)
+	d.cmd.Stderr = os.Stderr
+	must.NoError(d.fleet.t, d.cmd.Start())
+}
+
+func (d *testDaemon) signal(s syscall.Signal) {
+	must.NoError(d.fleet.t, d.cmd.Process.Signal(s))
+}
+
+// kill ends the process at once, as a power cut would.
+func (d *testDaemon) kill() {
+	if d.cmd == nil {
+		return
+	}
+	_ = d.cmd.Process.Kill()
+	_ = d.cmd.Wait()
+	d.cmd = nil
+}
+
+func (d *testDaemon) operator() encoder.Operator {
+	client := &http.Client{
+		Timeout:   5 * time.Second,
+		Transport: authenticator.Bearer{Token: testToken, Next: http.DefaultTransport},
+	}
+	return encoder.NewOperatorProtobufClient("http://"+d.set.Listen.Operators, client)
+}
+
+func (d *testDaemon) status() *encoder.Status {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s, err := d.operator().Get(ctx, &encoder.GetRequest{})
+	if err != nil {
+		return &encoder.Status{}
+	}
+	return s
+}
+
+// eventually waits for a state.
+func (f *testFleet) eventually(what string, holds func() bool) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for time.Since(began) < stateWait {
+		if holds() {
+			return time.Since(began)
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+	f.t.Fatalf("never came to hold: %s", what)
+	return 0
+}
+
+// leader is the daemon that leads and holds its lease.
+func (f *testFleet) leader() *testDaemon {
+	var leader *testDaemon
+	f.eventually("a leader", func() bool {
+		leader = f.leaderNow()
+		return leader != nil
+	})
+	return leader
+}
+
+func (f *testFleet) leaderNow() *testDaemon {
+	for _, d := range f.daemons {
+		if d.cmd != nil && d.status().GetLeads() {
+			return d
+		}
+	}
+	return nil
+}
+
+func testDeclarations(size int64) *encoder.Declarations {
+	d, err := loader.ParseDeclarations("test", fmt.Appendf(nil, `{
+  "pools": [{"name": "imaging", "size": %d, "lendable": true}],
+  "services": [{"name": "build", "pool": "imaging"}, {"name": "check", "pool": "imaging", "idempotent": true}],
+  "customers": [{"name": "school", "tokenSha256": %q, "services": ["build", "check"], "budget": {"maxDown": 3}}],
+}`, size, tokenDigest))
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// tokenDigest is the SHA-256 of testToken.
+const tokenDigest = "0b22685f9b78c09f405c9b3d827428f629ced40ecce59d38ea57c3b8ff3d85f6"
+
+func (f *testFleet) apply(d *testDaemon, revision uint64, id string, size int64) *encoder.Outcome {
+	var out *encoder.Outcome
+	f.eventually("apply "+id, func() bool {
+		var err error
+		out, err = d.operator().Apply(context.Background(), &encoder.ApplyRequest{
+			Declarations: testDeclarations(size), Revision: revision, Operator: "test", ChangeId: id,
+		})
+		return err == nil
+	})
+	return out
+}
+
+// startEndpoints starts stand-ins in all zones and waits until they serve.
+func (f *testFleet) startEndpoints(n int, faults emulator.Faults) {
+	for i := range n {
+		zone := []string{"a", "b", "c"}[i%3]
+		var entries []string
+		for _, d := range f.daemons {
+			if d.set.Zone == zone {
+				entries = append(entries, "http://"+d.set.Listen.Endpoints)
+			}
+		}
+		e, err := emulator.NewEndpoint(emulator.Config{
+			Instance: fmt.Sprintf("w%d", i), Zone: zone, Rack: fmt.Sprintf("%s-%d", zone, i), Slots: 8, Connections: 64,
+			Address: "127.0.0.1:0", Entries: entries, Token: testToken, Faults: faults, Seed: uint64(i),
+			Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+			Started: func(customer, key, _ string) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.starts[customer+" "+key]++
+			},
+		})
+		must.NoError(f.t, err)
+		f.endpoints = append(f.endpoints, e)
+	}
+	f.eventually("all endpoints serve", func() bool {
+		for _, d := range f.daemons {
+			serving := 0
+			for _, i := range d.status().GetInstances() {
+				if i.GetPlaceName() == "serving" {
+					serving++
+				}
+			}
+			if serving != n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// checkStarts checks that no keyed request started twice.
+func (f *testFleet) checkStarts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for key, count := range f.starts {
+		if strings.HasSuffix(key, " ") {
+			continue // without a key
+		}
+		n++
+		must.Eq(f.t, 1, count, must.Sprintf("key %s started %d times", key, count))
+	}
+	return n
+}
