Shares: keep free what others are expected to need, and lend the rest

Cause 1: the first limits gave a flooding kind everything that was idle at the moment; with independent arrivals the others' demand varies, and its peaks found lent slots. Now each kind within its share keeps its mean and 4 deviations free. Cause 2: a limit held a customer within its share up behind the flood of another one in the same pool. Such customers are no longer limited; those over their share leave free what the others need. Cause 3: each entry instance took the whole idle part before it heard of the others' demand. Beyond an equal part limits now rise step by step. Cause 4: the mean followed a change of phase slowly, so idle pools were lent late. A jump of more than 5 deviations is now taken fast.

--- a/admitter/config.go
+++ b/admitter/config.go
@@ -6,6 +6,7 @@
 
 // Config holds the bounds of an admitter.
 type Config struct {
+	Name       string        // of this entry instance
 	MaxQueue   int           // requests of one customer and service that may wait
 	UrgentWait time.Duration // an urgent request starts within this time or not at all
 	RetryAfter time.Duration // hint of a refusal
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -11,6 +11,9 @@
 // urgentRun is how many urgent requests may pass an older one of the same customer in a row.
 const urgentRun = 3
 
+// runMeans is how many mean run times a request is left to run before its deadline.
+const runMeans = 2
+
 // queue holds the waiting requests of one customer for one service.
 type queue struct {
 	customer string
@@ -18,8 +21,10 @@
 	inUse    int
 	urgent   *immutable.List[messenger.Request]
 	normal   *immutable.List[messenger.Request]
-	streak   int    // urgent requests picked since the last normal one
-	picked   uint64 // number of the last pick
+	streak   int     // urgent requests picked since the last normal one
+	picked   uint64  // number of the last pick
+	mean     float64 // running mean of the demand, in slots
+	over     bool    // asks for more than its share
 }
 
 func newQueue(customer string, weight int) queue {
@@ -31,6 +36,14 @@
 	}
 }
 
+// demand is the slots that the customer would use now.
+func (q queue) demand() int { return q.len() + q.inUse }
+
+func (q queue) withMean() queue {
+	q.mean = learnDemand(q.mean, q.demand())
+	return q
+}
+
 func (q queue) len() int { return q.urgent.Len() + q.normal.Len() }
 
 // ahead is how many requests would start before a new one of this urgency.
@@ -115,14 +128,14 @@
 	return kept.List(), dropped
 }
 
-// startBy is the last time at which a request may start.
-func startBy(cfg Config, r messenger.Request) time.Time {
-	if !r.IsUrgent() {
-		return r.Deadline
-	}
+// startBy is the last time at which a request may start. A request needs time
+// to run: one that starts too late wastes a slot.
+func startBy(cfg Config, r messenger.Request, mean time.Duration) time.Time {
+	wait := r.Deadline.Sub(r.Arrived)
+	latest := r.Deadline.Add(-min(runMeans*mean, wait/2))
 	urgent := r.Arrived.Add(cfg.UrgentWait)
-	if urgent.Before(r.Deadline) {
+	if r.IsUrgent() && urgent.Before(latest) {
 		return urgent
 	}
-	return r.Deadline
+	return latest
 }
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	riseWindow  = 10                     // ticks over which the rise of a demand is taken
-	riseDecay   = 0.99                   // kept of the largest rise at each tick
 	firstMean   = 500 * time.Millisecond // mean run time before any was measured
 	leastMean   = time.Millisecond
 	largestMean = 10 * time.Minute
@@ -26,9 +24,9 @@
 	uses    []use
 	mean    time.Duration // learned run time
 
-	samples [riseWindow]int // demand at the last ticks
-	sample  int
-	rise    float64 // the largest recent rise of demand within the window, in slots
+	meanDemand float64 // running mean of the demand at all instances, in slots
+	over       bool    // asks for more than its guarantee
+	kept       float64 // slots that are kept for its customers within their shares
 }
 
 // use is what a service has in one pool.
@@ -76,7 +74,7 @@
 		before = old.len()
 	}
 	v.waiting += q.len() - before
-	if q.len() == 0 && q.inUse == 0 {
+	if q.demand() == 0 && q.mean < leastMeanDemand {
 		v.queues = v.queues.Delete(q.customer)
 		return v
 	}
@@ -84,27 +82,18 @@
 	return v
 }
 
-func (v service) inUse() int {
-	n := 0
-	for _, u := range v.uses {
-		n += u.inUse
-	}
-	return n
-}
-
-func (v service) demand() int { return v.waiting + v.inUse() }
-
 func (v service) withRun(ran time.Duration) service {
 	ran = min(max(ran, leastMean), largestMean)
 	v.mean += (ran - v.mean) / meanWeight
 	return v
 }
 
-// withSample takes the demand at a tick into the rise.
-func (v service) withSample(demand int) service {
-	oldest := v.samples[v.sample]
-	v.samples[v.sample] = demand
-	v.sample = (v.sample + 1) % riseWindow
-	v.rise = max(v.rise*riseDecay, float64(demand-oldest))
+// withMeans takes the demand at a tick into the running means.
+func (v service) withMeans(demand int) service {
+	v.meanDemand = learnDemand(v.meanDemand, demand)
+	for it := v.queues.Iterator(); !it.Done(); {
+		_, q, _ := it.Next()
+		v = v.withQueue(q.withMean())
+	}
 	return v
 }
--- a/admitter/share.go
+++ b/admitter/share.go
@@ -10,8 +10,20 @@
 )
 
 const (
-	mostHeadroom = 0.25        // of a pool that is kept for a rise of its own services
-	returnWithin = time.Second // lent slots should come back in this time
+	// margin is how many standard deviations above its mean a demand is kept free
+	// for. The slots that independent requests use at a time spread like a
+	// Poisson number, so the deviation is the root of the mean.
+	margin = 4.0
+	// meanPart is the part of the newest tick in the mean of a demand.
+	meanPart = 0.05
+	// jump is how many standard deviations off its mean a demand is no chance
+	// any more, and jumpPart the part of the newest tick in the mean then.
+	jump     = 5
+	jumpPart = 0.5
+	// riseStep is the part by which a limit rises at a tick beyond an equal part.
+	riseStep = 0.25
+	// leastMeanDemand is the mean demand below which a queue is forgotten.
+	leastMeanDemand = 0.05
 )
 
 // portion is one demand in an allocation.
@@ -46,6 +58,21 @@
 	return max(capacity, 0)
 }
 
+// learnDemand takes the demand at a tick into its mean: slowly while it only
+// varies, fast once it has changed.
+func learnDemand(mean float64, demand int) float64 {
+	off := float64(demand) - mean
+	if math.Abs(off) > jump*math.Sqrt(max(mean, 1)) {
+		return mean + off*jumpPart
+	}
+	return mean + off*meanPart
+}
+
+// expected is the demand that slots are kept for: what is there, or the mean with a margin.
+func expected(demand int, mean, spread float64) float64 {
+	return max(float64(demand), mean+margin*math.Sqrt(spread))
+}
+
 // recompute sets the limits of all services in all pools from the demand here and elsewhere.
 func (s State) recompute() State {
 	if !s.cfg.Policy.Shared {
@@ -55,6 +82,9 @@
 	if s.cfg.Policy.Lends {
 		s = s.lend(unmet)
 	}
+	for _, v := range s.all() {
+		s = s.withService(s.limitCustomers(v))
+	}
 	return s
 }
 
@@ -72,7 +102,9 @@
 	return s
 }
 
-// homePortions allocates every pool to its own services and returns what each still lacks.
+// homePortions allocates every pool to its own services and returns what each
+// still lacks. A service whose mean demand is within its guarantee is not
+// limited; one that asks for more gets what the others are not expected to need.
 func (s *State) homePortions() []portion {
 	var unmet []portion
 	for _, p := range s.poolList() {
@@ -82,60 +114,75 @@
 			if v.home != p.name {
 				continue
 			}
-			portions = append(portions, portion{name: v.name, demand: float64(s.homeDemand(v)), weight: float64(v.share)})
+			demand := expected(s.homeDemand(v), v.meanDemand, v.meanDemand)
+			portions = append(portions, portion{name: v.name, demand: demand, weight: float64(v.share)})
 			shares += v.share
 		}
 		p.left = waterfill(float64(p.capacity), portions)
+		s.pools = s.pools.Set(p.name, p)
 		for _, got := range portions {
 			v, _ := s.services.Get(got.name)
 			guaranteed := float64(p.capacity*v.share) / float64(max(shares, 1))
-			*s = s.withLimit(v, p, got.got, got.got+s.slack(p.left), guaranteed)
-			lack := got.demand - got.got
+			v.over = v.meanDemand > guaranteed
+			*s = s.withHomeLimit(v, p, got.got)
+			lack := float64(s.homeDemand(v)) - got.got
 			if lack > 0 {
 				unmet = append(unmet, portion{name: v.name, demand: lack, weight: float64(v.share)})
 			}
 		}
-		s.pools = s.pools.Set(p.name, p)
 	}
 	return unmet
 }
 
-// slack is what every service of a pool may race for beyond its allocation.
-func (s State) slack(left float64) float64 {
-	if !s.cfg.Policy.Lends {
-		return 0
+func (s State) withHomeLimit(v service, p pool, allocated float64) State {
+	limit := p.capacity
+	if v.over {
+		limit = s.part(allocated, v.use(p.name).limit, s.demandsFor(v, p))
 	}
-	return left
+	u := v.use(p.name)
+	u.limit = limit
+	return s.withService(v.withUse(u))
 }
 
-// withLimit sets this instance's part of an allocation: an equal part of what
-// the instances ask for, and at least its part of what is guaranteed.
-func (s State) withLimit(v service, p pool, allocated, ceiling, guaranteed float64) State {
-	here := v.use(p.name).inUse
-	if p.name == v.home {
-		here = v.demand()
-	}
+// demandsFor is what each instance asks of a pool for a service, this instance first.
+func (s State) demandsFor(v service, p pool) []portion {
+	here := v.waiting + v.use(p.name).inUse
 	parts := []portion{{demand: float64(here), weight: 1}}
 	for _, r := range s.remote() {
-		parts = append(parts, portion{demand: float64(r.demand(v.name, p.name, p.name == v.home)), weight: 1})
+		parts = append(parts, portion{demand: float64(r.demand(v.name, p.name, true)), weight: 1})
 	}
-	waterfill(allocated, parts)
-	limit := parts[0].got + ceiling - allocated
-	least := guaranteed / float64(len(parts))
-	u := v.use(p.name)
-	u.limit = int(math.Ceil(max(limit, least) - 1e-9))
-	return s.withService(v.withUse(u))
+	return parts
+}
+
+// part is this instance's part of an allocation. The instances round at
+// different points, so that together they neither lose slots nor take too many.
+// What the others ask for is known with a lag, so beyond an equal part the
+// limit rises step by step; it falls at once.
+func (s State) part(allocated float64, before int, demands []portion) int {
+	waterfill(allocated, demands)
+	equal := allocated / float64(len(demands))
+	got := demands[0].got
+	if got > equal {
+		got = min(got, max(equal, float64(before)+(got-equal)*riseStep))
+	}
+	rank := 0
+	for _, r := range s.remote() {
+		if r.from < s.cfg.Name {
+			rank++
+		}
+	}
+	dither := (float64(rank) + 0.5) / float64(len(demands))
+	return int(got + dither)
 }
 
 // lend gives idle slots of lendable pools to services that lack some at home.
 func (s State) lend(unmet []portion) State {
 	for _, p := range s.poolList() {
-		idle := p.left - s.headroom(p)
-		portions := slices.Clone(unmet)
-		if !p.lendable || idle < 1 {
-			portions = nil
+		idle := p.left
+		if !p.lendable {
 			idle = 0
 		}
+		portions := slices.Clone(unmet)
 		for i := range portions {
 			v, _ := s.services.Get(portions[i].name)
 			if v.home == p.name {
@@ -143,54 +190,61 @@
 			}
 		}
 		waterfill(idle, portions)
-		for _, v := range s.all() {
-			if v.home == p.name {
-				continue
-			}
-			got := 0.0
-			for i := range portions {
-				if portions[i].name == v.name {
-					got = portions[i].got
-					unmet[i].demand -= got
-				}
-			}
-			s = s.withBorrowed(v, p, got)
+		for i, got := range portions {
+			unmet[i].demand -= got.got
 		}
+		s = s.withBorrowers(p, portions)
 	}
 	return s
 }
 
-func (s State) withBorrowed(v service, p pool, got float64) State {
-	here := float64(v.waiting + v.use(p.name).inUse)
-	parts := []portion{{demand: here, weight: 1}}
-	for _, r := range s.remote() {
-		parts = append(parts, portion{demand: float64(r.demand(v.name, p.name, true)), weight: 1})
-	}
-	waterfill(got, parts)
-	u := v.use(p.name)
-	if u.limit == 0 && got == 0 {
-		return s
-	}
-	u.limit = int(math.Ceil(parts[0].got - 1e-9))
-	return s.withService(v.withUse(u))
-}
-
-// headroom is kept for a rise of the pool's own services, less what lent slots give back in time.
-func (s State) headroom(p pool) float64 {
-	rise := 0.0
-	returned := 0.0
+func (s State) withBorrowers(p pool, portions []portion) State {
 	for _, v := range s.all() {
 		if v.home == p.name {
-			rise += v.rise
 			continue
 		}
-		part := min(1, returnWithin.Seconds()/v.mean.Seconds())
-		returned += part * float64(v.use(p.name).inUse)
+		got := 0.0
+		for _, other := range portions {
+			if other.name == v.name {
+				got = other.got
+			}
+		}
+		u := v.use(p.name)
+		if u.limit == 0 && got == 0 {
+			continue
+		}
+		u.limit = s.part(got, u.limit, s.demandsFor(v, p))
+		s = s.withService(v.withUse(u))
+	}
+	return s
+}
+
+// limitCustomers finds the customers of a service that ask for more than their
+// share, and what to keep free for the others.
+func (s State) limitCustomers(v service) service {
+	slots, weights := 0, 0
+	for _, u := range v.uses {
+		slots += u.limit
+	}
+	for it := v.queues.Iterator(); !it.Done(); {
+		_, q, _ := it.Next()
+		weights += q.weight
+	}
+	v.kept = 0
+	instances := float64(1 + s.remotes.Len())
+	for it := v.queues.Iterator(); !it.Done(); {
+		name, q, _ := it.Next()
+		fair := float64(slots*q.weight) / float64(weights)
+		q.over = v.over && q.mean > fair
+		if !q.over {
+			v.kept += expected(0, q.mean, q.mean/instances)
+		}
+		v.queues = v.queues.Set(name, q)
 	}
-	return min(max(rise-returned, 0), mostHeadroom*float64(p.capacity))
+	return v
 }
 
-// homeDemand is what a service asks for at all instances, less what it has elsewhere.
+// homeDemand is what a service asks for at all instances, less what it has in other pools.
 func (s State) homeDemand(v service) int {
 	n := v.waiting + v.use(v.home).inUse
 	for _, r := range s.remote() {
--- a/admitter/turn.go
+++ b/admitter/turn.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"time"
 
 	"laburnumwind/messenger"
@@ -59,7 +60,8 @@
 		t.refuse(r, messenger.QueueFull, statusTooMany)
 		return
 	}
-	if !t.now.Before(startBy(t.state.cfg, r)) {
+	r = r.WithStartBy(startBy(t.state.cfg, r, v.mean))
+	if !t.now.Before(r.StartBy) {
 		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
 		return
 	}
@@ -102,7 +104,7 @@
 	}
 	mine := float64(max(slots, 1)) * float64(q.weight) / float64(max(weights, q.weight))
 	wait := time.Duration(float64(ahead+1) / mine * float64(v.mean))
-	return t.now.Add(wait).After(startBy(t.state.cfg, r))
+	return t.now.Add(wait).After(startBy(t.state.cfg, r, v.mean))
 }
 
 func (t *turn) cancel(m messenger.Cancel) {
@@ -156,7 +158,7 @@
 	t.expire()
 	t.state = t.state.withoutSilent(t.now)
 	for _, v := range t.state.all() {
-		t.state = t.state.withService(v.withSample(t.state.homeDemand(v)))
+		t.state = t.state.withService(v.withMeans(t.state.homeDemand(v)))
 	}
 	t.state = t.state.recompute()
 	t.pumpAll()
@@ -165,7 +167,7 @@
 
 // expire refuses what did not start in time.
 func (t *turn) expire() {
-	late := func(r messenger.Request) bool { return !t.now.Before(startBy(t.state.cfg, r)) }
+	late := func(r messenger.Request) bool { return !t.now.Before(r.StartBy) }
 	for _, v := range t.state.all() {
 		if v.waiting == 0 {
 			continue
@@ -237,12 +239,13 @@
 	for it := t.state.services.Iterator(); !it.Done(); {
 		_, v, _ := it.Next()
 		u := v.use(p.name)
-		if v.waiting == 0 || u.inUse >= u.limit {
+		if v.waiting == 0 || u.limit == 0 {
 			continue
 		}
+		reserve := v.reserve(p.name)
 		for queues := v.queues.Iterator(); !queues.Done(); {
 			_, q, _ := queues.Next()
-			if q.len() == 0 {
+			if q.len() == 0 || !mayUse(v, u, q, reserve) {
 				continue
 			}
 			c := candidate(v, u, q)
@@ -254,6 +257,31 @@
 	return bestService, bestQueue, found
 }
 
+// mayUse tells whether the limits let a customer's next request into a pool.
+// A customer within its share is not held up by the others of its service; the
+// others leave free what those are expected to need.
+func mayUse(v service, u use, q queue, reserve int) bool {
+	if !v.over || q.over {
+		return u.inUse+reserve < u.limit
+	}
+	return u.pool == v.home || u.inUse < u.limit
+}
+
+// reserve is the number of slots at home to keep free for customers within their shares.
+func (v service) reserve(pool string) int {
+	if !v.over || pool != v.home {
+		return 0
+	}
+	inUse := 0
+	for it := v.queues.Iterator(); !it.Done(); {
+		_, q, _ := it.Next()
+		if !q.over {
+			inUse += q.inUse
+		}
+	}
+	return max(int(math.Ceil(v.kept))-inUse, 0)
+}
+
 func candidate(v service, u use, q queue) Candidate {
 	head := q.head()
 	return Candidate{
@@ -268,6 +296,12 @@
 
 func (t *turn) start(p pool, v service, q queue) {
 	r := q.head().WithPool(p.name)
+	if !t.now.Before(r.StartBy) {
+		t.state = t.state.withService(v.withQueue(q.withoutHead()))
+		t.state.waiting = t.state.waiting.Delete(r.ID)
+		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+		return
+	}
 	t.state.picks++
 	q = q.withoutHead().withUse(1).withPick(t.state.picks)
 	t.state = t.state.withService(v.withQueue(q).withInUse(p.name, 1)).withPoolUse(p.name, 1)
--- /dev/null
+++ b/cmd/laburnumlab/main.go
@@ -0,0 +1,93 @@
+// Command laburnumlab measures the decisions on fake time, each beside its baselines in the same run.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"laburnumwind/admitter"
+	"laburnumwind/experimenter"
+)
+
+type commands struct {
+	Flood    floodCommand    `cmd:"" help:"Service that other work keeps in a flood."`
+	Rotation rotationCommand `cmd:"" help:"Goodput under rotating demand."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("laburnumlab"), kong.Description("Measures the decisions on fake time."))
+	err := ctx.Run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+type floodCommand struct {
+	Seeds  uint64 `default:"1" help:"Number of seeds."`
+	Policy string `help:"Only the policy with this name."`
+	Detail bool   `help:"Show every kind of work."`
+}
+
+// Run runs the command.
+func (c floodCommand) Run() error {
+	fmt.Println("| flood | policy | seed | others' goodput | of that without flood | p99 wait | times without flood | flood answered |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, urgency := range []int{7, 0} {
+		for _, policy := range experimenter.Policies() {
+			if c.Policy != "" && c.Policy != policy.Name {
+				continue
+			}
+			for seed := range c.Seeds {
+				c.row(urgency, policy, seed+1)
+			}
+		}
+	}
+	return nil
+}
+
+func (c floodCommand) row(urgency int, policy admitter.Policy, seed uint64) {
+	var calm, flooded []experimenter.Outcome
+	var wg sync.WaitGroup
+	wg.Go(func() { calm = experimenter.FloodTrial(seed, policy, -1).Run() })
+	wg.Go(func() { flooded = experimenter.FloodTrial(seed, policy, urgency).Run() })
+	wg.Wait()
+	a, b := experimenter.Others(calm), experimenter.Others(flooded)
+	f := experimenter.Flood(flooded)
+	fmt.Printf("| urgency %d | %s | %d | %.4f | %.4f | %s | %.2f | %d of %d |\n",
+		urgency, policy.Name, seed, b.Goodput(), b.Goodput()/a.Goodput(),
+		b.Wait(0.99).Round(time.Millisecond), float64(b.Wait(0.99))/float64(a.Wait(0.99)), f.Answered, f.Offered)
+	for _, o := range flooded {
+		if c.Detail {
+			fmt.Printf("  %s: %.4f of %d, p50 %s, p99 %s\n", o.Kind, o.Goodput(), o.Offered, o.Wait(0.5), o.Wait(0.99))
+		}
+	}
+}
+
+type rotationCommand struct {
+	Seeds  uint64 `default:"1" help:"Number of seeds."`
+	Policy string `help:"Only the policy with this name."`
+}
+
+// Run runs the command.
+func (c rotationCommand) Run() error {
+	fmt.Println("| policy | seed | goodput | of the best with hindsight | p99 wait |")
+	fmt.Println("| --- | --- | --- | --- | --- |")
+	for _, policy := range experimenter.Policies() {
+		if c.Policy != "" && c.Policy != policy.Name {
+			continue
+		}
+		for seed := range c.Seeds {
+			trial := experimenter.RotationTrial(seed+1, policy)
+			o := experimenter.All(trial.Run())
+			fmt.Printf("| %s | %d | %.4f | %.4f | %s |\n",
+				policy.Name, seed+1, o.Goodput(), o.Goodput()/trial.Hindsight(), o.Wait(0.99).Round(time.Millisecond))
+		}
+	}
+	return nil
+}
--- a/experimenter/entry.go
+++ b/experimenter/entry.go
@@ -94,6 +94,7 @@
 		Ticket:       ticket,
 		Violated:     func(err error) { e.world.breaks("%s: %v", e.Name, err) },
 	}
+	cfg.Admitter.Name = e.Name
 	cfg.Placer.Zone = e.Zone
 	cfg.Placer.Seed = seed + 2
 	cfg.Claimer.Entry = e.RunName()
--- a/messenger/request.go
+++ b/messenger/request.go
@@ -30,6 +30,7 @@
 	Urgency    int // 0 is the most urgent, 7 the least
 	Arrived    time.Time
 	Deadline   time.Time
+	StartBy    time.Time // it starts before this time or not at all
 	Idempotent bool
 
 	Pool     string // the pool that it was admitted to
@@ -46,6 +47,12 @@
 // IsUrgent tells whether the request must start soon or not at all.
 func (r Request) IsUrgent() bool { return r.Urgency < UrgentBelow }
 
+// WithStartBy returns the request with the last time at which it may start.
+func (r Request) WithStartBy(at time.Time) Request {
+	r.StartBy = at
+	return r
+}
+
 // WithPool returns the request admitted to a pool.
 func (r Request) WithPool(pool string) Request {
 	r.Pool = pool
--- a/placer/turn.go
+++ b/placer/turn.go
@@ -65,6 +65,10 @@
 }
 
 func (t *turn) place(r messenger.Request) {
+	if !t.now.Before(r.StartBy) {
+		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+		return
+	}
 	open := t.openWorkers(r)
 	if len(open) == 0 {
 		t.state.blocked = t.state.blocked.Append(r)
@@ -138,8 +142,6 @@
 	switch {
 	case t.state.jobs.isBad(t.now, r.Digest) && m.Failed:
 		t.refuse(r, messenger.BadJob, statusBadJob)
-	case !t.now.Before(r.Deadline):
-		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
 	case r.Breaks > mostBreaks || r.Attempt > mostUnstarted:
 		t.refuse(r, messenger.RetriesSpent, statusUnavailable)
 	case x.Reason == messenger.SlotsFull:
@@ -250,7 +252,7 @@
 	t.state.blocked = immutable.NewList[messenger.Request]()
 	for it := waiting.Iterator(); !it.Done(); {
 		_, r := it.Next()
-		if t.now.Before(r.Deadline) {
+		if t.now.Before(r.StartBy) {
 			t.state.blocked = t.state.blocked.Append(r)
 			continue
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -292,7 +292,7 @@
 	set := s.cfg.Settings
 	seed := rand.Uint64()
 	return assembler.Config{
-		Admitter:     admitter.Config{MaxQueue: set.Limits.Queue},
+		Admitter:     admitter.Config{Name: set.Name, MaxQueue: set.Limits.Queue},
 		Placer:       placer.Config{Zone: set.Zone, Seed: seed},
 		Claimer:      claimer.Config{Entry: s.run},
 		Tracker:      tracker.Config{Name: set.Name, LeastInterval: set.Timing.Announce},
