Spread pools over racks first; measure roll-out, reserve and moves

laburnumlab rollout (today's fleet, reboot 60 s, budgets of 3 down): a wave took 10m47s. Cause: instances were assigned by what a pool lacked and racks only broke ties, so a pool had two instances in one rack and its reserve was 2 of the 3. Racks now come first.

--- a/experimenter/check.go
+++ b/experimenter/check.go
@@ -58,13 +58,13 @@
 		started[callName{s.Entry, s.Request}] = s
 	}
 	for _, c := range w.Calls {
-		s, ran := started[callName{c.Run, c.ID}]
+		s, ran := started[callName{c.EntryRun, c.ID}]
 		if c.Answered && c.Answer.Outcome == messenger.Refused && ran {
-			w.breaks("request %d of %s was refused (%s) and started on %s", c.ID, c.Run, c.Answer.Reason, s.Worker)
+			w.breaks("request %d of %s was refused (%s) and started on %s", c.ID, c.EntryRun, c.Answer.Reason, s.Worker)
 		}
 		due := c.SentAt.Add(c.Wait + answerGrace)
 		if !c.Answered && !c.Gone && w.Now().After(due) {
-			w.breaks("request %d of %s has no answer", c.ID, c.Run)
+			w.breaks("request %d of %s has no answer", c.ID, c.EntryRun)
 		}
 	}
 }
--- a/experimenter/rotation.go
+++ b/experimenter/rotation.go
@@ -41,6 +41,17 @@
 	return Trial{Seed: seed, Policy: policy, Kinds: kinds, Length: rotationTotal}
 }
 
+// PeakMoves is how many instances would move in a rotation trial if each peak
+// were met by moving instances to the hot pool instead of lending slots.
+func PeakMoves() int {
+	moves := 0
+	for phase := range int(rotationTotal / rotationPhase) {
+		size := PoolSizes[phase%len(PoolSizes)].Size
+		moves += int(rotationMean*rotationPeak*float64(size)) - size
+	}
+	return moves
+}
+
 // Hindsight is the goodput of one queue in front of all slots, without any
 // delay or pool: no policy can do better.
 func (t Trial) Hindsight() float64 {
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -248,7 +248,7 @@
 type Call struct {
 	Job
 	Entry    string
-	Run      string
+	EntryRun string // run of the entry instance
 	ID       uint64
 	SentAt   time.Time
 	Answered bool
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -110,8 +110,10 @@
 	return s
 }
 
-// wantingPool is the pool that lacks the largest part of its size; the spare pool if none lacks any.
-// Among equals it is the one with the fewest instances in the same rack.
+// wantingPool is the pool that an instance should serve, of those that lack
+// instances; the spare pool if none does. It is one with the fewest instances in
+// the same rack, since the reserve for the loss of a rack is as large as what
+// one rack holds; among those it is the one that lacks the largest part.
 func (s State) wantingPool(i Instance) string {
 	best, bestLack, bestRack := "", 0.0, 0
 	spare := ""
@@ -121,11 +123,13 @@
 		}
 		members := s.members(p.Name)
 		lack := float64(p.Size-len(members)) / float64(max(p.Size, 1))
-		rack := countRack(members, i.Rack)
-		if lack <= 0 || lack < bestLack || (lack == bestLack && rack >= bestRack) {
+		if lack <= 0 {
 			continue
 		}
-		best, bestLack, bestRack = p.Name, lack, rack
+		rack := countRack(members, i.Rack)
+		if best == "" || rack < bestRack || (rack == bestRack && lack > bestLack) {
+			best, bestLack, bestRack = p.Name, lack, rack
+		}
 	}
 	if best == "" {
 		return spare
