--- a/cmd/laburnumlab/main.go
+++ b/cmd/laburnumlab/main.go
@@ -32,6 +32,7 @@
 type floodCommand struct {
 	Seeds  uint64 `default:"1" help:"Number of seeds."`
 	Policy string `help:"Only the policy with this name."`
+	Fault  string `default:"none" enum:"none,rack lost,zone cut" help:"What happens after 20 s: none, rack lost or zone cut."`
 	Detail bool   `help:"Show every kind of work."`
 }
 
@@ -54,9 +55,10 @@
 
 func (c floodCommand) row(urgency int, policy admitter.Policy, seed uint64) {
 	var calm, flooded []experimenter.Outcome
+	fault := experimenter.Faults()[c.Fault]
 	var wg sync.WaitGroup
-	wg.Go(func() { calm, _ = experimenter.FloodTrial(seed, policy, -1).Run() })
-	wg.Go(func() { flooded, _ = experimenter.FloodTrial(seed, policy, urgency).Run() })
+	wg.Go(func() { calm, _ = experimenter.FloodTrial(seed, policy, -1).WithFault(fault).Run() })
+	wg.Go(func() { flooded, _ = experimenter.FloodTrial(seed, policy, urgency).WithFault(fault).Run() })
 	wg.Wait()
 	a, b := experimenter.Others(calm), experimenter.Others(flooded)
 	f := experimenter.Flood(flooded)
--- a/experimenter/flood.go
+++ b/experimenter/flood.go
@@ -83,3 +83,28 @@
 	}
 	return Outcome{}
 }
+
+// Times of a fault in a trial.
+const (
+	faultBegin = 20 * time.Second
+	faultEnd   = 35 * time.Second
+)
+
+// Faults are what may happen in the middle of a trial, by name.
+func Faults() map[string]func(w *World, since time.Duration) {
+	return map[string]func(w *World, since time.Duration){
+		"none": func(*World, time.Duration) {},
+		"rack lost": func(w *World, since time.Duration) {
+			for _, k := range w.workers {
+				if since == faultBegin && k.Rack == w.workers[0].Rack {
+					k.Kill()
+				}
+			}
+		},
+		"zone cut": func(w *World, since time.Duration) {
+			if since == faultBegin || since == faultEnd {
+				w.CutZone("c", since == faultBegin)
+			}
+		},
+	}
+}
--- a/experimenter/measure.go
+++ b/experimenter/measure.go
@@ -109,6 +109,12 @@
 	return w
 }
 
+// WithFault returns the trial with a fault in its middle.
+func (t Trial) WithFault(fault func(w *World, since time.Duration)) Trial {
+	t.Fault = fault
+	return t
+}
+
 // Run runs the trial and returns what each kind of work got, and how many instances changed their place.
 func (t Trial) Run() (outcomes []Outcome, moves int) {
 	w := NewToday(t.Seed, 3, func(cfg *assembler.Config) { cfg.Admitter.Policy = t.Policy })
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -119,18 +119,14 @@
 	return total
 }
 
-// account is the account in the window that the time falls into.
+// account is the account in the window that the time falls into. Windows are
+// the same for everybody: a whole number of their length since the zero time.
 func (s State) account(now time.Time, c Customer, pool string) Account {
-	a, ok := s.accounts.Get(accountKey(c.Name, pool))
-	if !ok {
-		a = Account{Customer: c.Name, Pool: pool, WindowStart: now}
+	a := Account{Customer: c.Name, Pool: pool, WindowStart: now.Truncate(max(c.Budget.Window, time.Minute))}
+	known, ok := s.accounts.Get(accountKey(c.Name, pool))
+	if ok && known.WindowStart.Equal(a.WindowStart) {
+		a.Spent = known.Spent
 	}
-	window := c.Budget.Window
-	if window <= 0 || now.Sub(a.WindowStart) < window {
-		return a
-	}
-	a.WindowStart = a.WindowStart.Add(now.Sub(a.WindowStart).Truncate(window))
-	a.Spent = 0
 	return a
 }
 
@@ -138,14 +134,7 @@
 func (s State) charge(now time.Time, i Instance) State {
 	for _, c := range s.owed(i.Pool) {
 		a := s.account(now, c, i.Pool)
-		since := i.Since
-		_, known := s.accounts.Get(accountKey(c.Name, i.Pool))
-		if known {
-			since = later(since, a.WindowStart)
-		} else {
-			a.WindowStart = since
-		}
-		a.Spent += now.Sub(since)
+		a.Spent += now.Sub(later(i.Since, a.WindowStart))
 		s.accounts = s.accounts.Set(accountKey(c.Name, i.Pool), a)
 	}
 	return s
--- /dev/null
+++ b/server/contract_test.go
@@ -0,0 +1,244 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"laburnumwind/emulator"
+	"laburnumwind/encoder"
+	"laburnumwind/receiver"
+)
+
+// newTestServer is one instance with a voter inside the test, declared and with two endpoints.
+func newTestServer(t *testing.T, faults emulator.Faults) (*Server, *testFleet) {
+	t.Helper()
+	set, clean, err := DevSettings()
+	must.NoError(t, err)
+	t.Cleanup(clean)
+	for _, address := range []*string{&set.Listen.Callers, &set.Listen.Endpoints, &set.Listen.Operators, &set.Listen.Peers} {
+		*address = freeAddress(t)
+	}
+	set.Timing.Leave = 0
+	set.Limits.Body = 1000
+	s, err := NewServer(Config{Settings: set, Log: zerolog.Nop(), Failed: func(err error) { t.Error(err) }})
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		must.Zero(t, s.Counter("invariantViolations"))
+		s.Stop()
+	})
+	f := &testFleet{t: t, starts: make(map[string]int), token: DevToken}
+	f.daemons = []*testDaemon{{fleet: f, set: set}}
+	t.Cleanup(func() {
+		for _, e := range f.endpoints {
+			e.Kill()
+		}
+	})
+	must.Eq(t, "accepted", f.apply(f.daemons[0], 0, "first", 2).GetCode())
+	f.startEndpoints(1, faults)
+	return s, f
+}
+
+func (f *testFleet) call(t *testing.T, method, path string, header map[string]string, body string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+f.daemons[0].set.Listen.Callers+path, strings.NewReader(body))
+	must.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	return response, string(text)
+}
+
+func TestCallersContract(t *testing.T) {
+	_, f := newTestServer(t, emulator.Faults{})
+	tests := map[string]struct {
+		method, path string
+		header       map[string]string
+		body         string
+		status       int
+		outcome      string
+		want         string // part of the body
+	}{
+		"answered":            {method: "POST", path: "build/x", body: "hello", status: 200, outcome: "answered", want: "hello"},
+		"empty body":          {method: "GET", path: "build/", status: 200, outcome: "answered"},
+		"no token":            {method: "POST", path: "build/", header: map[string]string{"Authorization": ""}, status: 401, outcome: "refused"},
+		"wrong token":         {method: "POST", path: "build/", header: map[string]string{"Authorization": "Bearer x"}, status: 401, outcome: "refused"},
+		"no such service":     {method: "POST", path: "none/", status: 404, outcome: "refused"},
+		"body over the bound": {method: "POST", path: "build/", body: strings.Repeat("x", 1001), status: 413, outcome: "refused"},
+		"malformed priority":  {method: "POST", path: "build/", header: map[string]string{"Priority": "u=9"}, status: 400, outcome: "refused", want: "Priority"},
+		"malformed timeout":   {method: "POST", path: "build/", header: map[string]string{"Request-Timeout": "-1"}, status: 400, outcome: "refused", want: "Request-Timeout"},
+		"key":                 {method: "POST", path: "build/", header: map[string]string{"Idempotency-Key": "one"}, body: "k", status: 200, outcome: "answered", want: "k"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			response, text := f.call(t, tc.method, receiver.PathServices+tc.path, tc.header, tc.body)
+			must.Eq(t, tc.status, response.StatusCode)
+			must.Eq(t, tc.outcome, response.Header.Get(receiver.HeaderOutcome))
+			must.StrContains(t, text, tc.want)
+			if tc.outcome == "refused" {
+				must.Eq(t, "application/problem+json", response.Header.Get("Content-Type"))
+			}
+		})
+	}
+	repeat, text := f.call(t, "POST", receiver.PathServices+"build/", map[string]string{"Idempotency-Key": "twice"}, "b")
+	must.Eq(t, "", repeat.Header.Get(receiver.HeaderReplayed))
+	must.Eq(t, "b", text)
+	repeat, text = f.call(t, "POST", receiver.PathServices+"build/", map[string]string{"Idempotency-Key": "twice"}, "b")
+	must.Eq(t, "true", repeat.Header.Get(receiver.HeaderReplayed))
+	must.Eq(t, "b", text)
+	f.checkStarts()
+}
+
+func TestEndpointFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults  emulator.Faults
+		service string
+		status  int
+		outcome string
+	}{
+		"truncated answer, runs once":  {faults: emulator.Faults{Truncate: 1}, service: "build", status: 502, outcome: "unknown"},
+		"truncated answer, idempotent": {faults: emulator.Faults{Truncate: 1}, service: "check", status: 502, outcome: "unknown"},
+		"server error":                 {faults: emulator.Faults{Fail: 1}, service: "build", status: 500, outcome: "failed"},
+		"no answer":                    {faults: emulator.Faults{Hang: 1}, service: "build", status: 504, outcome: "unknown"},
+		"late answer":                  {faults: emulator.Faults{Late: 1, LateBy: 2 * time.Second}, service: "build", status: 504, outcome: "unknown"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, f := newTestServer(t, tc.faults)
+			response, _ := f.call(t, "POST", receiver.PathServices+tc.service+"/", map[string]string{"Request-Timeout": "1"}, "some body")
+			must.Eq(t, tc.status, response.StatusCode)
+			must.Eq(t, tc.outcome, response.Header.Get(receiver.HeaderOutcome))
+		})
+	}
+}
+
+func TestWithoutCredentialNothing(t *testing.T) {
+	_, f := newTestServer(t, emulator.Faults{})
+	set := f.daemons[0].set
+	tests := map[string]struct{ address, path, token string }{
+		"announce without token":    {address: set.Listen.Endpoints, path: "/v1/announce"},
+		"announce with a wrong one": {address: set.Listen.Endpoints, path: "/v1/announce", token: "wrong-token-0123456789"},
+		"operators' call":           {address: set.Listen.Operators, path: encoder.OperatorPathPrefix + "Get"},
+		"metrics":                   {address: set.Listen.Operators, path: "/metrics"},
+		"status":                    {address: set.Listen.Operators, path: "/status"},
+		"peers' message":            {address: set.Listen.Peers, path: encoder.PeerPathPrefix + "Deliver", token: "wrong-token-0123456789"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, err := http.NewRequest(http.MethodPost, "http://"+tc.address+tc.path, bytes.NewReader([]byte(`{}`)))
+			must.NoError(t, err)
+			r.Header.Set("Content-Type", "application/json")
+			if tc.token != "" {
+				r.Header.Set("Authorization", "Bearer "+tc.token)
+			}
+			response, err := http.DefaultClient.Do(r)
+			must.NoError(t, err)
+			text, err := io.ReadAll(response.Body)
+			must.NoError(t, err)
+			must.NoError(t, response.Body.Close())
+			must.Eq(t, http.StatusUnauthorized, response.StatusCode)
+			must.Eq(t, "Unauthorized\n", string(text))
+		})
+	}
+}
+
+func TestAnnouncementsContract(t *testing.T) {
+	_, f := newTestServer(t, emulator.Faults{})
+	tests := map[string]struct {
+		body   string
+		status int
+		want   string
+	}{
+		"good":        {body: `{"instance": "n", "incarnation": 5, "address": "127.0.0.1:9", "slots": 1}`, status: 200, want: "intervalSeconds"},
+		"malformed":   {body: `{`, status: 400, want: "malformed"},
+		"no instance": {body: `{"incarnation": 5, "address": "127.0.0.1:9", "slots": 1}`, status: 400, want: "instance"},
+		"no address":  {body: `{"instance": "n", "incarnation": 5, "slots": 1}`, status: 400, want: "address"},
+		"no slots":    {body: `{"instance": "n", "incarnation": 5, "address": "127.0.0.1:9"}`, status: 400, want: "slots"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, err := http.NewRequest(http.MethodPost, "http://"+f.daemons[0].set.Listen.Endpoints+"/v1/announce", strings.NewReader(tc.body))
+			must.NoError(t, err)
+			r.Header.Set("Authorization", "Bearer "+DevToken)
+			response, err := http.DefaultClient.Do(r)
+			must.NoError(t, err)
+			text, err := io.ReadAll(response.Body)
+			must.NoError(t, err)
+			must.NoError(t, response.Body.Close())
+			must.Eq(t, tc.status, response.StatusCode)
+			must.StrContains(t, string(text), tc.want)
+		})
+	}
+}
+
+func TestSlowCallerIsCutOff(t *testing.T) {
+	_, f := newTestServer(t, emulator.Faults{})
+	c, err := net.Dial("tcp", f.daemons[0].set.Listen.Callers)
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /v1/services/build/ HTTP/1.1\r\nHost: x\r\n") // and no more
+	must.NoError(t, err)
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(2*readHeaderTimeout)))
+	_, err = io.ReadAll(c)
+	must.NoError(t, err) // the connection ended before the deadline
+}
+
+func TestOperatorsContract(t *testing.T) {
+	_, f := newTestServer(t, emulator.Faults{})
+	ctx := context.Background()
+	op := f.daemons[0].operator()
+	tests := map[string]struct {
+		call func() (*encoder.Outcome, error)
+		code string
+		err  string
+	}{
+		"stale revision": {
+			call: func() (*encoder.Outcome, error) {
+				return op.Apply(ctx, &encoder.ApplyRequest{Declarations: testDeclarations(1), ChangeId: "x"})
+			},
+			code: "conflict",
+		},
+		"no change ID": {
+			call: func() (*encoder.Outcome, error) { return op.Apply(ctx, &encoder.ApplyRequest{}) },
+			err:  "changeId",
+		},
+		"unknown instance": {
+			call: func() (*encoder.Outcome, error) {
+				return op.Move(ctx, &encoder.MoveRequest{Action: "drain", Instance: "none", ChangeId: "y"})
+			},
+			err: "no instance none",
+		},
+		"stop of no wave": {
+			call: func() (*encoder.Outcome, error) {
+				return op.Maintain(ctx, &encoder.WaveRequest{Action: "stop", Wave: 3, ChangeId: "z"})
+			},
+			code: "conflict",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			out, err := tc.call()
+			if tc.err != "" {
+				must.ErrorContains(t, err, tc.err)
+				return
+			}
+			must.NoError(t, err)
+			must.Eq(t, tc.code, out.GetCode())
+		})
+	}
+}
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -35,6 +35,7 @@
 	endpoints []*emulator.Endpoint
 	mu        sync.Mutex
 	starts    map[string]int
+	token     string // of operators and endpoints
 }
 
 type testDaemon struct {
@@ -77,7 +78,7 @@
 // newTestFleet writes the settings of three voters, one a zone, and one instance without a disk.
 func newTestFleet(t *testing.T) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, folder: t.TempDir(), starts: make(map[string]int)}
+	f := &testFleet{t: t, folder: t.TempDir(), starts: make(map[string]int), token: testToken}
 	must.NoError(t, os.WriteFile(filepath.Join(f.folder, "token"), []byte(testToken+"\n"), 0o600))
 	names := []string{"a1", "b1", "c1", "a2"}
 	var peers []string
@@ -152,7 +153,7 @@
 func (d *testDaemon) operator() encoder.Operator {
 	client := &http.Client{
 		Timeout:   5 * time.Second,
-		Transport: authenticator.Bearer{Token: testToken, Next: http.DefaultTransport},
+		Transport: authenticator.Bearer{Token: d.fleet.token, Next: http.DefaultTransport},
 	}
 	return encoder.NewOperatorProtobufClient("http://"+d.set.Listen.Operators, client)
 }
@@ -233,13 +234,13 @@
 		zone := []string{"a", "b", "c"}[i%3]
 		var entries []string
 		for _, d := range f.daemons {
-			if d.set.Zone == zone {
+			if d.set.Zone == zone || len(f.daemons) == 1 {
 				entries = append(entries, "http://"+d.set.Listen.Endpoints)
 			}
 		}
 		e, err := emulator.NewEndpoint(emulator.Config{
 			Instance: fmt.Sprintf("w%d", i), Zone: zone, Rack: fmt.Sprintf("%s-%d", zone, i), Slots: 8, Connections: 64,
-			Address: "127.0.0.1:0", Entries: entries, Token: testToken, Faults: faults, Seed: uint64(i),
+			Address: "127.0.0.1:0", Entries: entries, Token: f.token, Faults: faults, Seed: uint64(i),
 			Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 			Started: func(customer, key, _ string) {
 				f.mu.Lock()
