Control costs less: fewer heartbeats, no scans of the fleet for each pool

Cause: every heartbeat and every unchanged demand is an HTTP exchange of its own. Heartbeats every 200 ms instead of 100 (election 600 ms), learners every second, unchanged demands once a second, ticks of the groups every 50 ms.

--- a/admitter/state.go
+++ b/admitter/state.go
@@ -12,6 +12,9 @@
 // remoteRetention is how long the demand of a silent instance counts.
 const remoteRetention = 3 * time.Second
 
+// tellEvery is how often an unchanged demand is told again.
+const tellEvery = time.Second
+
 // State is the immutable value of an admitter.
 type State struct {
 	cfg      Config
@@ -21,6 +24,8 @@
 	waiting  *immutable.Map[uint64, place] // where a request waits
 	weights  keeper.State                  // for the customers' weights
 	picks    uint64
+	told     []messenger.Demand // to the tracker
+	toldAt   time.Time
 	stopping bool
 }
 
@@ -50,9 +55,6 @@
 	}
 }
 
-// Waiting is the number of requests that wait.
-func (s State) Waiting() int { return s.waiting.Len() }
-
 // Stop tells the admitter to refuse what is new.
 type Stop struct{}
 
--- a/admitter/turn.go
+++ b/admitter/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"laburnumwind/messenger"
@@ -162,7 +163,17 @@
 	}
 	t.state = t.state.recompute()
 	t.pumpAll()
-	t.send(messenger.Tracker, messenger.LocalDemand{Demands: t.state.Demands()})
+	t.tellDemands()
+}
+
+// tellDemands tells the tracker a demand that changed, and now and then that it did not.
+func (t *turn) tellDemands() {
+	demands := t.state.Demands()
+	if slices.Equal(demands, t.state.told) && t.now.Sub(t.state.toldAt) < tellEvery {
+		return
+	}
+	t.state.told, t.state.toldAt = demands, t.now
+	t.send(messenger.Tracker, messenger.LocalDemand{Demands: demands})
 }
 
 // expire refuses what did not start in time.
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -44,7 +44,7 @@
 
 // Intervals of ticks.
 const (
-	groupTick   = 20 * time.Millisecond
+	groupTick   = 50 * time.Millisecond
 	requestTick = 100 * time.Millisecond
 	controlTick = 250 * time.Millisecond
 )
--- a/cmd/laburnumctl/operator.go
+++ b/cmd/laburnumctl/operator.go
@@ -7,11 +7,9 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -19,11 +17,10 @@
 	"laburnumwind/authenticator"
 	"laburnumwind/encoder"
 	"laburnumwind/loader"
+	"laburnumwind/operator"
 	"laburnumwind/server"
 )
 
-const callTimeout = 40 * time.Second
-
 // target is where operators' calls go.
 type target struct {
 	Server    string `short:"s" default:"http://127.0.0.1:7103" help:"URL of an entry instance's operators' listener."`
@@ -39,11 +36,7 @@
 		}
 		token = tokens[0]
 	}
-	client := &http.Client{
-		Timeout:   callTimeout,
-		Transport: authenticator.Bearer{Token: token, Next: http.DefaultTransport},
-	}
-	return encoder.NewOperatorProtobufClient(t.Server, client), nil
+	return encoder.NewOperatorProtobufClient(t.Server, operator.Client(token)), nil
 }
 
 // change names a change, so that it can be sent again after a lost answer.
--- a/cmd/laburnumlab/main.go
+++ b/cmd/laburnumlab/main.go
@@ -16,6 +16,8 @@
 type commands struct {
 	Flood    floodCommand    `cmd:"" help:"Service that other work keeps in a flood."`
 	Rotation rotationCommand `cmd:"" help:"Goodput under rotating demand."`
+	Overhead overheadCommand `cmd:"" help:"What an entry instance adds to a direct call, beside a bare hop. Run it in the project's folder."`
+	Capacity capacityCommand `cmd:"" help:"What state and control cost as the fleet grows."`
 	Rollout  rolloutCommand  `cmd:"" help:"Time of a maintenance of the whole fleet, and the reserve."`
 }
 
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"laburnumwind/assembler"
 	"laburnumwind/buffer"
 	"laburnumwind/encoder"
@@ -33,7 +35,7 @@
 	Peers   []Peer
 	Client  *http.Client
 	Dropped func(peer string)
-	Sent    func(peer string, messages int)
+	Sent    func(peer string, messages, bytes int)
 	Cut     func(peer string) bool // for tests: whether nothing goes to or comes from a peer
 }
 
@@ -130,10 +132,11 @@
 		c.cfg.Dropped(to)
 		return
 	}
-	_, err := client.Deliver(ctx, &encoder.Batch{From: c.cfg.Name, Envelopes: batch})
+	out := &encoder.Batch{From: c.cfg.Name, Envelopes: batch}
+	_, err := client.Deliver(ctx, out)
 	if err != nil {
 		c.cfg.Dropped(to)
 		return
 	}
-	c.cfg.Sent(to, len(batch))
+	c.cfg.Sent(to, len(batch), proto.Size(out))
 }
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -119,13 +119,6 @@
 // Address is where the endpoint listens.
 func (e *Endpoint) Address() string { return e.address }
 
-// Turn turns the switches.
-func (e *Endpoint) Turn(f Faults) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.faults = f
-}
-
 // Leave tells all entry instances that the endpoint takes no new work.
 func (e *Endpoint) Leave(ctx context.Context) {
 	e.mu.Lock()
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -116,15 +116,6 @@
 	return time.Duration(w.random.Int64N(int64(d)))
 }
 
-// Entries are all entry instances.
-func (w *World) Entries() []*Entry { return w.entries }
-
-// Workers are all endpoints.
-func (w *World) Workers() []*Worker { return w.workers }
-
-// Random is the world's random source.
-func (w *World) Random() *rand.Rand { return w.random }
-
 // Entry returns an entry instance by its name.
 func (w *World) Entry(name string) *Entry {
 	for _, e := range w.entries {
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -115,18 +114,18 @@
 // the same rack, since the reserve for the loss of a rack is as large as what
 // one rack holds; among those it is the one that lacks the largest part.
 func (s State) wantingPool(i Instance) string {
+	size, inRack := s.countMembers(i.Rack)
 	best, bestLack, bestRack := "", 0.0, 0
 	spare := ""
 	for _, p := range s.declarations.Pools {
 		if p.Spare {
 			spare = p.Name
 		}
-		members := s.members(p.Name)
-		lack := float64(p.Size-len(members)) / float64(max(p.Size, 1))
+		lack := float64(p.Size-size[p.Name]) / float64(max(p.Size, 1))
 		if lack <= 0 {
 			continue
 		}
-		rack := countRack(members, i.Rack)
+		rack := inRack[p.Name]
 		if best == "" || rack < bestRack || (rack == bestRack && lack > bestLack) {
 			best, bestLack, bestRack = p.Name, lack, rack
 		}
@@ -137,10 +136,19 @@
 	return best
 }
 
-// members are the instances of a pool, with those that are on their way to it and without those that leave it.
-func (s State) members(pool string) []Instance {
-	all := s.Instances()
-	return slices.DeleteFunc(all, func(i Instance) bool { return i.Belongs() != pool })
+// countMembers counts the instances of each pool, and those in one rack. What is
+// on its way to a pool counts there.
+func (s State) countMembers(rack string) (size, inRack map[string]int) {
+	size = make(map[string]int)
+	inRack = make(map[string]int)
+	for it := s.instances.Iterator(); !it.Done(); {
+		_, i, _ := it.Next()
+		size[i.Belongs()]++
+		if i.Rack == rack {
+			inRack[i.Belongs()]++
+		}
+	}
+	return size, inRack
 }
 
 // Belongs is the pool that the instance is in, or that it is moving to.
@@ -151,16 +159,6 @@
 	return i.Pool
 }
 
-func countRack(members []Instance, rack string) int {
-	n := 0
-	for _, m := range members {
-		if m.Rack == rack {
-			n++
-		}
-	}
-	return n
-}
-
 func (s State) register(now time.Time, c Command) (State, Result) {
 	fresh := c.Instance
 	if fresh.Name == "" {
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -70,9 +70,9 @@
 // instances still up that share a rack, as if the named instance were drained.
 func (s State) downAndReserve(pool, drained string) (down, reserve int) {
 	racks := make(map[string]int)
-	for it := s.instances.Iterator(); !it.Done(); {
+	for it := s.poolMembers(pool).Iterator(); !it.Done(); {
 		_, i, _ := it.Next()
-		if i.Pool != pool || i.Name == drained {
+		if i.Name == drained {
 			continue
 		}
 		if i.IsDown() {
@@ -110,9 +110,9 @@
 func (s State) spent(now time.Time, c Customer, pool string) time.Duration {
 	a := s.account(now, c, pool)
 	total := a.Spent
-	for it := s.instances.Iterator(); !it.Done(); {
+	for it := s.poolMembers(pool).Iterator(); !it.Done(); {
 		_, i, _ := it.Next()
-		if i.Pool == pool && i.IsDown() {
+		if i.IsDown() {
 			total += now.Sub(later(i.Since, a.WindowStart))
 		}
 	}
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -21,6 +20,7 @@
 	customers    *immutable.Map[string, Customer]
 	tokens       *immutable.Map[string, string] // token digest to customer
 	instances    *immutable.SortedMap[string, Instance]
+	members      *immutable.Map[string, *immutable.SortedMap[string, Instance]] // by the pool that they are charged to
 	accounts     *immutable.SortedMap[string, Account]
 	changes      *immutable.SortedMap[string, Remembered]
 	wave         Wave
@@ -36,6 +36,7 @@
 		customers: immutable.NewMap[string, Customer](nil),
 		tokens:    immutable.NewMap[string, string](nil),
 		instances: immutable.NewSortedMap[string, Instance](nil),
+		members:   immutable.NewMap[string, *immutable.SortedMap[string, Instance]](nil),
 		accounts:  immutable.NewSortedMap[string, Account](nil),
 		changes:   immutable.NewSortedMap[string, Remembered](nil),
 	}
@@ -84,12 +85,24 @@
 
 // PoolInstances returns the instances that are charged to a pool, sorted by name.
 func (s State) PoolInstances(pool string) []Instance {
-	all := s.Instances()
-	return slices.DeleteFunc(all, func(i Instance) bool { return i.Pool != pool })
+	return values(s.poolMembers(pool))
+}
+
+func (s State) poolMembers(pool string) *immutable.SortedMap[string, Instance] {
+	members, ok := s.members.Get(pool)
+	if !ok {
+		return immutable.NewSortedMap[string, Instance](nil)
+	}
+	return members
 }
 
 // WithInstance returns the state with one instance changed.
 func (s State) WithInstance(i Instance) State {
+	old, ok := s.instances.Get(i.Name)
+	if ok && old.Pool != i.Pool {
+		s.members = s.members.Set(old.Pool, s.poolMembers(old.Pool).Delete(i.Name))
+	}
+	s.members = s.members.Set(i.Pool, s.poolMembers(i.Pool).Set(i.Name, i))
 	s.instances = s.instances.Set(i.Name, i)
 	return s
 }
@@ -162,7 +175,7 @@
 	s.wave = img.Wave
 	s.maintained = img.Maintained
 	for _, i := range img.Instances {
-		s.instances = s.instances.Set(i.Name, i)
+		s = s.WithInstance(i)
 	}
 	for _, a := range img.Accounts {
 		s.accounts = s.accounts.Set(accountKey(a.Customer, a.Pool), a)
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -159,7 +159,7 @@
 		number("limits.header", "bytes", 1024, mebibyte, "32768", func(s *Settings) *int { return &s.Limits.Header }),
 		number("limits.answer", "bytes", 1, 256*mebibyte, "16777216", func(s *Settings) *int { return &s.Limits.Answer }),
 		number("limits.inFlight", "requests", 1, 65536, "2048", func(s *Settings) *int { return &s.Limits.InFlight }),
-		number("limits.senders", "attempts", 1, 8192, "512", func(s *Settings) *int { return &s.Limits.Senders }),
+		number("limits.senders", "attempts", 1, 8192, "256", func(s *Settings) *int { return &s.Limits.Senders }),
 		number("limits.queue", "requests", 1, 65536, "1000", func(s *Settings) *int { return &s.Limits.Queue }),
 		duration("timing.defaultWait", time.Millisecond, time.Hour, `"30s"`, func(s *Settings) *time.Duration { return &s.Timing.DefaultWait }),
 		duration("timing.maxWait", time.Millisecond, 24*time.Hour, `"10m"`, func(s *Settings) *time.Duration { return &s.Timing.MaxWait }),
--- a/placer/state.go
+++ b/placer/state.go
@@ -50,15 +50,6 @@
 	}
 }
 
-// IsEjected tells whether an endpoint gets no work because of its failures.
-func (s State) IsEjected(now time.Time, instance string) bool {
-	w, _ := s.workers.Get(instance)
-	return w.health.isEjected(now)
-}
-
-// Blocked is the number of admitted requests that wait for room.
-func (s State) Blocked() int { return s.blocked.Len() }
-
 // Step takes one message.
 func (s State) Step(now time.Time, body any) (State, []messenger.Message) {
 	t := &turn{state: s, now: now}
--- a/planner/follow.go
+++ b/planner/follow.go
@@ -21,7 +21,7 @@
 	if t.now.Sub(t.state.leadsAt) < t.state.cfg.LostAfter {
 		return // a new leader has not heard everybody yet
 	}
-	for _, i := range t.state.view.State.Instances() {
+	for _, i := range t.instances {
 		silent := !heard[i.Name] && t.now.Sub(i.Since) > t.state.cfg.LostAfter
 		if silent && (i.Place == keeper.Serving || i.Place == keeper.Draining) {
 			t.propose(keeper.Command{Kind: keeper.MarkLost, Instance: i})
@@ -58,7 +58,7 @@
 
 // failReboots reports instances that do not come back from their maintenance.
 func (t *turn) failReboots() {
-	for _, i := range t.state.view.State.Instances() {
+	for _, i := range t.instances {
 		late := t.now.Sub(i.Since) > t.state.cfg.RebootLimit
 		if i.Place == keeper.Maintenance && late {
 			t.propose(keeper.Command{Kind: keeper.FailWave, Instance: i})
--- a/planner/moves.go
+++ b/planner/moves.go
@@ -14,8 +14,9 @@
 	if s.Wave().State == keeper.WaveRunning || t.moving() {
 		return
 	}
+	counts := t.counts()
 	for _, p := range s.Declarations().Pools {
-		if p.Spare || t.count(p.Name) >= p.Size {
+		if p.Spare || counts[p.Name] >= p.Size {
 			t.state.lacking = t.state.lacking.Delete(p.Name)
 			continue
 		}
@@ -24,14 +25,14 @@
 			t.state.lacking = t.state.lacking.Set(p.Name, t.now)
 			continue
 		}
-		if t.now.Sub(since) >= t.state.cfg.MoveAfter && t.moveTo(p) {
+		if t.now.Sub(since) >= t.state.cfg.MoveAfter && t.moveTo(p, counts) {
 			return
 		}
 	}
 }
 
 func (t *turn) moving() bool {
-	for _, i := range t.state.view.State.Instances() {
+	for _, i := range t.instances {
 		if i.Target != "" || (t.pendingAt(i.Name) && i.Place == keeper.Serving) {
 			return true
 		}
@@ -39,19 +40,19 @@
 	return false
 }
 
-// count is how many instances a pool has or will have.
-func (t *turn) count(pool string) int {
-	n := 0
-	for _, i := range t.state.view.State.Instances() {
-		if i.Belongs() == pool && i.Place != keeper.Quarantined {
-			n++
+// counts is how many instances each pool has or will have.
+func (t *turn) counts() map[string]int {
+	n := make(map[string]int)
+	for _, i := range t.instances {
+		if i.Place != keeper.Quarantined {
+			n[i.Belongs()]++
 		}
 	}
 	return n
 }
 
-func (t *turn) moveTo(p keeper.Pool) bool {
-	for _, donor := range t.donors() {
+func (t *turn) moveTo(p keeper.Pool, counts map[string]int) bool {
+	for _, donor := range t.donors(counts) {
 		for _, i := range t.spread(donor, p.Name) {
 			if t.state.view.State.DrainRefusal(t.now, i) != "" || !t.isHealthy(i, t.state.cfg.LostAfter) {
 				continue
@@ -63,11 +64,11 @@
 }
 
 // donors are the pools with more instances than they declare, the largest surplus first.
-func (t *turn) donors() []string {
+func (t *turn) donors(counts map[string]int) []string {
 	surplus := make(map[string]int)
 	var names []string
 	for _, p := range t.state.view.State.Declarations().Pools {
-		n := t.count(p.Name) - p.Size
+		n := counts[p.Name] - p.Size
 		if n > 0 {
 			surplus[p.Name] = n
 			names = append(names, p.Name)
@@ -81,11 +82,11 @@
 // holds the fewest of the pool that they go to: that keeps its reserve small.
 func (t *turn) spread(donor, pool string) []keeper.Instance {
 	racks := make(map[string]int)
-	for _, i := range t.state.view.State.PoolInstances(pool) {
+	for _, i := range t.pools[pool] {
 		racks[i.Rack]++
 	}
 	var out []keeper.Instance
-	for _, i := range t.state.view.State.PoolInstances(donor) {
+	for _, i := range t.pools[donor] {
 		if i.Place == keeper.Serving {
 			out = append(out, i)
 		}
--- a/planner/state.go
+++ b/planner/state.go
@@ -12,6 +12,9 @@
 	"laburnumwind/messenger"
 )
 
+// lookPerEndpoint bounds the time spent on looks in a large fleet.
+const lookPerEndpoint = 250 * time.Microsecond
+
 // Config holds the times of a planner.
 type Config struct {
 	LostAfter     time.Duration // silence after which an instance is lost
@@ -78,7 +81,7 @@
 		t.state.heardAt = now
 	case messenger.Proposed:
 	case messenger.Tick:
-		if now.Sub(s.lookedAt) >= t.state.cfg.Every {
+		if now.Sub(s.lookedAt) >= max(t.state.cfg.Every, lookPerEndpoint*time.Duration(len(s.reports))) {
 			t.state.lookedAt = now
 			t.plan()
 		}
@@ -87,9 +90,11 @@
 }
 
 type turn struct {
-	state State
-	now   time.Time
-	out   []messenger.Message
+	state     State
+	now       time.Time
+	out       []messenger.Message
+	instances []keeper.Instance            // all, read once for a look
+	pools     map[string][]keeper.Instance // by the pool that they are charged to
 }
 
 func (t *turn) view(v messenger.View) {
@@ -104,6 +109,11 @@
 	if !t.state.view.Leads || t.state.view.State.Revision() == 0 {
 		return
 	}
+	t.instances = t.state.view.State.Instances()
+	t.pools = make(map[string][]keeper.Instance)
+	for _, i := range t.instances {
+		t.pools[i.Pool] = append(t.pools[i.Pool], i)
+	}
 	t.followReports()
 	t.failReboots()
 	t.proposeWave()
--- a/planner/wave.go
+++ b/planner/wave.go
@@ -7,6 +7,10 @@
 	"laburnumwind/keeper"
 )
 
+// triesOfPool is how many instances of a pool are tried at one look. They come
+// sorted by how little their drain leaves at risk, so the rest would fare no better.
+const triesOfPool = 3
+
 // proposeWave drains the next instances of a running wave, pool by pool, as
 // many as the budgets allow. Racks that are partly down already go first: what
 // is left of them is the smallest further loss.
@@ -18,8 +22,9 @@
 	if t.state.cfg.OneRackOnly && t.anyDown() {
 		return
 	}
-	for _, pool := range waitingPools(s) {
-		for _, i := range t.candidates(pool) {
+	for _, pool := range t.waitingPools() {
+		best := t.candidates(pool)
+		for _, i := range best[:min(len(best), triesOfPool)] {
 			if s.DrainRefusal(t.now, i) != "" {
 				continue
 			}
@@ -34,7 +39,7 @@
 }
 
 func (t *turn) anyDown() bool {
-	for _, i := range t.state.view.State.Instances() {
+	for _, i := range t.instances {
 		if i.IsDown() || t.pendingAt(i.Name) {
 			return true
 		}
@@ -42,12 +47,14 @@
 	return false
 }
 
-func waitingPools(s keeper.State) []string {
+// waitingPools are the pools with instances that wait for the wave.
+func (t *turn) waitingPools() []string {
+	id := t.state.view.State.Wave().ID
 	var pools []string
-	for _, i := range s.Instances() {
-		waits := i.Wave == s.Wave().ID && i.Place == keeper.Serving
-		if waits && !slices.Contains(pools, i.Pool) {
-			pools = append(pools, i.Pool)
+	for name, members := range t.pools {
+		waits := slices.ContainsFunc(members, func(i keeper.Instance) bool { return i.Wave == id && i.Place == keeper.Serving })
+		if waits {
+			pools = append(pools, name)
 		}
 	}
 	slices.Sort(pools)
@@ -61,7 +68,7 @@
 	down := make(map[string]int)
 	up := make(map[string]int)
 	var waiting []keeper.Instance
-	for _, i := range s.PoolInstances(pool) {
+	for _, i := range t.pools[pool] {
 		if t.pendingAt(i.Name) && i.Place == keeper.Serving {
 			return nil
 		}
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -34,13 +34,13 @@
 // WithDefaults fills in what is zero.
 func (cfg Config[C, S, R]) WithDefaults() Config[C, S, R] {
 	if cfg.Heartbeat == 0 {
-		cfg.Heartbeat = 100 * time.Millisecond
+		cfg.Heartbeat = 200 * time.Millisecond
 	}
 	if cfg.Election == 0 {
-		cfg.Election = 500 * time.Millisecond
+		cfg.Election = 600 * time.Millisecond
 	}
 	if cfg.Drift == 0 {
-		cfg.Drift = 50 * time.Millisecond
+		cfg.Drift = 60 * time.Millisecond
 	}
 	if cfg.Fresh == 0 {
 		cfg.Fresh = 3 * time.Second
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -1,10 +1,18 @@
 package replicator
 
+// learnerBeats is how many heartbeats make one for a learner: it promises
+// nothing, so it only has to know that its copy is fresh.
+const learnerBeats = 5
+
 // beat sends to every node that was not sent to for a heartbeat.
 func (r *round[C, S, R]) beat() {
 	s := r.state
 	for _, p := range s.peers {
-		if r.hears(p.name) && r.now.Sub(p.beatAt) >= s.cfg.Heartbeat {
+		every := s.cfg.Heartbeat
+		if !s.isMember(p.name, p.disk) && p.disk != "" {
+			every *= learnerBeats
+		}
+		if r.hears(p.name) && r.now.Sub(p.beatAt) >= every {
 			r.sendAppend(p.name)
 		}
 	}
--- a/replicator/state.go
+++ b/replicator/state.go
@@ -221,6 +221,9 @@
 }
 
 func (s State[C, S, R]) withElectionTimer(now time.Time) State[C, S, R] {
+	if !s.IsVoter() {
+		return s.withTimer(now, s.cfg.Fresh, s.cfg.Election) // it only asks for a copy then
+	}
 	return s.withTimer(now, s.cfg.Election, s.cfg.Election)
 }
 
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	ringSize = 8192
-	kept     = 4096 // decisions that can be explained
+	ringSize = 2048
+	kept     = 2048 // decisions that can be explained
 )
 
 // Config describes a reporter.
--- a/server/listeners.go
+++ b/server/listeners.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -194,17 +193,3 @@
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(text)) // a reader that is gone gets nothing
 }
-
-// WaitReady waits until the instance is ready.
-func (s *Server) WaitReady(ctx context.Context) error {
-	tick := time.NewTicker(stopPoll)
-	defer tick.Stop()
-	for !s.IsReady() {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return fmt.Errorf("wait until ready: %w", ctx.Err())
-		}
-	}
-	return nil
-}
--- a/server/server.go
+++ b/server/server.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,7 +20,6 @@
 	"laburnumwind/claimer"
 	"laburnumwind/courier"
 	"laburnumwind/forwarder"
-	"laburnumwind/keeper"
 	"laburnumwind/loader"
 	"laburnumwind/messenger"
 	"laburnumwind/operator"
@@ -71,7 +69,6 @@
 	disks     disks
 	servers   []*http.Server
 	tokens    tokens
-	view      atomic.Pointer[messenger.View]
 	done      sync.WaitGroup
 }
 
@@ -98,7 +95,6 @@
 		run:      fmt.Sprintf("%s-%x", cfg.Settings.Name, rand.Uint64()),
 		reporter: reporter.NewReporter(reporter.Config{Log: cfg.Log, Every: cfg.Settings.Log.Every}),
 	}
-	s.view.Store(&messenger.View{State: keeper.NewState()})
 	err := s.loadTokens()
 	if err != nil {
 		return nil, fmt.Errorf("load tokens: %w", err)
@@ -165,8 +161,11 @@
 		Peers:   s.peers(),
 		Client:  &http.Client{Transport: authenticator.Bearer{Token: s.tokens.peer, Next: transport}},
 		Dropped: func(string) { s.reporter.Count("peerMessagesDropped", 1) },
-		Sent:    func(_ string, n int) { s.reporter.Count("peerMessagesSent", int64(n)) },
-		Cut:     s.cfg.Cut,
+		Sent: func(_ string, n, bytes int) {
+			s.reporter.Count("peerMessagesSent", int64(n))
+			s.reporter.Count("peerBytesSent", int64(bytes))
+		},
+		Cut: s.cfg.Cut,
 	})
 	s.forwarder = forwarder.NewForwarder(forwarder.Config{
 		Entry:     s.run,
@@ -255,7 +254,7 @@
 		messenger.Courier:   s.courier.Send,
 		messenger.Announcer: s.announcer.Take,
 		messenger.Reporter:  s.reporter.Take,
-		messenger.Operator:  s.takeForOperator,
+		messenger.Operator:  s.operator.Take,
 		messenger.Recorder:  s.disks.put,
 	}
 	s.disks.start(diskEdges{
@@ -280,14 +279,6 @@
 	close(s.started)
 }
 
-func (s *Server) takeForOperator(body any) {
-	v, ok := body.(messenger.View)
-	if ok {
-		s.view.Store(&v)
-	}
-	s.operator.Take(body)
-}
-
 func (s *Server) nodeConfig() assembler.Config {
 	set := s.cfg.Settings
 	seed := rand.Uint64()
@@ -338,12 +329,6 @@
 	return out
 }
 
-// IsReady tells whether callers should be sent here.
-func (s *Server) IsReady() bool { return s.receiver.IsReady() }
-
-// View is the present view of the declarations.
-func (s *Server) View() messenger.View { return *s.view.Load() }
-
 // Counter is the present value of a counter.
 func (s *Server) Counter(name string) int64 { return s.reporter.Counter(name) }
 
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -62,7 +62,8 @@
 	view      keeper.State
 	direct    int // endpoints that announce themselves here
 	demands   []messenger.Demand
-	told      []messenger.Demand
+	leads     bool // this node plans, so its planner wants to hear
+	lookedAt  time.Time
 	gossipAt  time.Time
 	wholeAt   time.Time
 	roster    []messenger.Endpoint
@@ -94,6 +95,7 @@
 		t.gossip(m)
 	case messenger.View:
 		t.state.view = m.State
+		t.state.leads = m.Leads
 		t.rebuild()
 	case messenger.LocalDemand:
 		t.state.demands = m.Demands
--- a/tracker/turn.go
+++ b/tracker/turn.go
@@ -8,6 +8,9 @@
 	"laburnumwind/messenger"
 )
 
+// lookPerEndpoint bounds the time spent on looks in a large fleet.
+const lookPerEndpoint = 250 * time.Microsecond
+
 // forgetAfter is how long a silent endpoint is remembered.
 const forgetAfter = 10 * time.Minute
 
@@ -114,10 +117,10 @@
 }
 
 func (t *turn) tick() {
-	t.forget()
-	t.rebuild()
-	t.tellPlanner()
-	t.send(messenger.Announcer, messenger.Interval{Every: t.state.Interval()})
+	if t.now.Sub(t.state.lookedAt) >= lookPerEndpoint*time.Duration(t.state.endpoints.Len()) {
+		t.state.lookedAt = t.now
+		t.look()
+	}
 	if t.now.Sub(t.state.wholeAt) >= t.state.cfg.WholeEvery {
 		t.state.wholeAt = t.now
 		t.tellWhole()
@@ -129,6 +132,16 @@
 	}
 }
 
+// look finds what fell silent.
+func (t *turn) look() {
+	t.forget()
+	t.rebuild()
+	if t.state.leads {
+		t.tellPlanner()
+	}
+	t.send(messenger.Announcer, messenger.Interval{Every: t.state.Interval()})
+}
+
 func (t *turn) forget() {
 	for it := t.state.endpoints.Iterator(); !it.Done(); {
 		name, e, _ := it.Next()
@@ -181,12 +194,8 @@
 	}
 }
 
-// tellDemands tells the others a demand that changed.
+// tellDemands tells the others the demand; it comes here only when it changed or is due again.
 func (t *turn) tellDemands() {
-	if slices.Equal(t.state.demands, t.state.told) && t.now.Sub(t.state.gossipAt) < t.state.cfg.GossipEvery {
-		return
-	}
-	t.state.told = t.state.demands
 	demands := t.state.demands
 	if demands == nil {
 		demands = []messenger.Demand{}
