--- a/experimenter/off_test.go
+++ b/experimenter/off_test.go
@@ -58,14 +58,13 @@
 				}
 				w.Propose(leader, keeper.Command{Kind: keeper.Drain, Proposer: "operator", ChangeID: "move", Instance: i, Target: target})
 				w.RunFor(2200 * time.Millisecond)
-				for n := range 40 { // enough to reach the moved instance
-					w.Submit(leader, Job{Service: target, Customer: "school", Body: fmt.Sprintf("new %d", n), Run: 50 * time.Millisecond})
+				for n := range 60 { // enough to reach the moved instance from both sides
+					for range 8 {
+						w.Submit(leader, Job{Service: target, Customer: "school", Body: fmt.Sprintf("new %d", n), Run: 60 * time.Millisecond})
+						w.Submit(old, Job{Service: i.Pool, Customer: "school", Body: fmt.Sprintf("old %d", n), Run: 60 * time.Millisecond})
+					}
+					w.RunFor(20 * time.Millisecond)
 				}
-				w.RunFor(100 * time.Millisecond)
-				for n := range 120 {
-					w.Submit(old, Job{Service: i.Pool, Customer: "school", Body: fmt.Sprintf("old %d", n), Run: 300 * time.Millisecond})
-				}
-				w.RunFor(time.Second)
 			},
 			want: "after epoch",
 		},
