--- a/experimenter/entry.go
+++ b/experimenter/entry.go
@@ -147,9 +147,9 @@
 				}
 			}
 		case assembler.DeclarationsWrite:
-			e.write(func() { e.syncDeclarations(body) })
+			e.write(func() { e.declarations = synced(e, messenger.Declarations, e.declarations, body) })
 		case assembler.ClaimsWrite:
-			e.write(func() { e.syncClaims(body) })
+			e.write(func() { e.claims = synced(e, messenger.Claims, e.claims, body) })
 		case messenger.View:
 			e.see(body)
 		case messenger.Reply:
@@ -214,30 +214,21 @@
 	next()
 }
 
-func (e *Entry) syncDeclarations(w assembler.DeclarationsWrite) {
-	if w.Write != nil {
-		e.declarations = e.declarations.WithWrite(*w.Write)
-	}
+// synced is the disk of a group after a write; what waited for the write goes out.
+func synced[C, S, R any](e *Entry, stage messenger.Stage, disk replicator.Disk[C, S], w assembler.Write[C, S, R]) replicator.Disk[C, S] {
 	for _, m := range w.Synced {
-		e.send(m.To, messenger.Declarations, m)
-	}
-	if w.Write != nil && len(w.Write.Entries) > 0 {
-		last := w.Write.Entries[len(w.Write.Entries)-1]
-		e.step(e.run, messenger.Declarations, replicator.Persisted{Index: last.Index, Term: last.Term})
-	}
-}
-
-func (e *Entry) syncClaims(w assembler.ClaimsWrite) {
-	if w.Write != nil {
-		e.claims = e.claims.WithWrite(*w.Write)
+		e.send(m.To, stage, m)
 	}
-	for _, m := range w.Synced {
-		e.send(m.To, messenger.Claims, m)
+	if w.Write == nil {
+		return disk
 	}
-	if w.Write != nil && len(w.Write.Entries) > 0 {
-		last := w.Write.Entries[len(w.Write.Entries)-1]
-		e.step(e.run, messenger.Claims, replicator.Persisted{Index: last.Index, Term: last.Term})
+	n := len(w.Write.Entries)
+	if n > 0 {
+		last := w.Write.Entries[n-1]
+		run := e.run
+		e.world.After(0, func() { e.step(run, stage, replicator.Persisted{Index: last.Index, Term: last.Term}) })
 	}
+	return disk.WithWrite(*w.Write)
 }
 
 // propose sends a command until its outcome is known.
--- /dev/null
+++ b/server/tls_test.go
@@ -0,0 +1,114 @@
+package server
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"laburnumwind/loader"
+)
+
+// authority signs the certificates of a test.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	folder      string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{folder: t.TempDir()}
+	var err error
+	a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	a.certificate = &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, a.certificate, a.certificate, &a.key.PublicKey, a.key)
+	must.NoError(t, err)
+	a.write(t, "ca.pem", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) write(t *testing.T, name, kind string, der []byte) string {
+	t.Helper()
+	path := filepath.Join(a.folder, name)
+	must.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return path
+}
+
+// settings are the files of a certificate for 127.0.0.1.
+func (a *authority) settings(t *testing.T) loader.TLS {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "entry"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.certificate, &key.PublicKey, a.key)
+	must.NoError(t, err)
+	private, err := x509.MarshalECPrivateKey(key)
+	must.NoError(t, err)
+	return loader.TLS{
+		Certificate: a.write(t, "cert.pem", "CERTIFICATE", der),
+		Key:         a.write(t, "key.pem", "EC PRIVATE KEY", private),
+		PeerCA:      filepath.Join(a.folder, "ca.pem"),
+	}
+}
+
+func TestTLS(t *testing.T) {
+	set, clean, err := DevSettings()
+	must.NoError(t, err)
+	defer clean()
+	for _, address := range []*string{&set.Listen.Callers, &set.Listen.Endpoints, &set.Listen.Operators, &set.Listen.Peers} {
+		*address = freeAddress(t)
+	}
+	set.Timing.Leave = 0
+	set.TLS = newAuthority(t).settings(t)
+	s, err := NewServer(Config{Settings: set, Log: zerolog.Nop(), Failed: func(err error) { t.Error(err) }})
+	must.NoError(t, err)
+	defer s.Stop()
+	_, mutual, err := tlsConfigs(set.TLS)
+	must.NoError(t, err)
+	server := &tls.Config{RootCAs: mutual.RootCAs}
+	tests := map[string]struct {
+		url    string
+		config *tls.Config
+		status int // 0: the connection is refused
+	}{
+		"callers":                                      {url: "https://" + set.Listen.Callers + "/healthz", config: server, status: http.StatusOK},
+		"callers without TLS":                          {url: "http://" + set.Listen.Callers + "/healthz", config: server, status: http.StatusBadRequest},
+		"callers with an unknown authority":            {url: "https://" + set.Listen.Callers + "/healthz", config: &tls.Config{}},
+		"peers without a certificate":                  {url: "https://" + set.Listen.Peers + "/", config: server},
+		"peers with a certificate and without a token": {url: "https://" + set.Listen.Peers + "/", config: mutual, status: http.StatusUnauthorized},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			client := &http.Client{Transport: &http.Transport{TLSClientConfig: tc.config}, Timeout: 5 * time.Second}
+			response, err := client.Get(tc.url)
+			if tc.status == 0 {
+				must.Error(t, err)
+				return
+			}
+			must.NoError(t, err)
+			must.NoError(t, response.Body.Close())
+			must.Eq(t, tc.status, response.StatusCode)
+		})
+	}
+}
