--- a/cmd/laburnumlab/main.go
+++ b/cmd/laburnumlab/main.go
@@ -18,6 +18,7 @@
 	Rotation rotationCommand `cmd:"" help:"Goodput under rotating demand."`
 	Overhead overheadCommand `cmd:"" help:"What an entry instance adds to a direct call, beside a bare hop. Run it in the project's folder."`
 	Capacity capacityCommand `cmd:"" help:"What state and control cost as the fleet grows."`
+	Plot     plotCommand     `cmd:"" help:"Draw a flood and a roll-out as SVG files."`
 	Rollout  rolloutCommand  `cmd:"" help:"Time of a maintenance of the whole fleet, and the reserve."`
 }
 
--- a/experimenter/measure.go
+++ b/experimenter/measure.go
@@ -117,7 +117,17 @@
 
 // Run runs the trial and returns what each kind of work got, and how many instances changed their place.
 func (t Trial) Run() (outcomes []Outcome, moves int) {
-	w := NewToday(t.Seed, 3, func(cfg *assembler.Config) { cfg.Admitter.Policy = t.Policy })
+	w := t.world()
+	t.load(w)
+	return w.outcomes(t.Kinds), w.moves()
+}
+
+func (t Trial) world() *World {
+	return NewToday(t.Seed, 3, func(cfg *assembler.Config) { cfg.Admitter.Policy = t.Policy })
+}
+
+// load runs the demand of the trial through a world.
+func (t Trial) load(w *World) {
 	for since := time.Duration(0); since < t.Length; since += pollRate {
 		if t.Fault != nil && since%time.Second == 0 {
 			t.Fault(w, since)
@@ -130,7 +140,6 @@
 		w.RunFor(pollRate)
 	}
 	w.RunFor(drainTime)
-	return w.outcomes(t.Kinds), w.moves()
 }
 
 // moves is how many changes of pool the instances went through since they were placed.
