--- a/assembler/group.go
+++ b/assembler/group.go
@@ -42,7 +42,6 @@
 
 // group is a replicated group as a stage.
 type group[C, S, R any] struct {
-	name    messenger.Stage
 	state   replicator.State[C, S, R]
 	results func(replicator.Result[R]) []messenger.Message
 	views   func(now time.Time, s replicator.State[C, S, R], applied bool) []messenger.Message
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -124,7 +124,6 @@
 	last := messenger.View{}
 	viewedAt := uint64(0)
 	g := &group[keeper.Command, keeper.State, keeper.Result]{
-		name:  messenger.Declarations,
 		state: replicator.NewState(now, cfg.Declarations, disk),
 		check: func(before, after DeclarationsState) { cfg.report(checkGroup(before, after)) },
 		results: func(r replicator.Result[keeper.Result]) []messenger.Message {
@@ -157,7 +156,6 @@
 	viewedAt := uint64(0)
 	leads := false
 	g := &group[claimer.Command, claimer.Register, claimer.Result]{
-		name:  messenger.Claims,
 		state: replicator.NewState(now, cfg.Claims, disk),
 		check: func(before, after ClaimsState) { cfg.report(checkGroup(before, after)) },
 		results: func(r replicator.Result[claimer.Result]) []messenger.Message {
--- a/experimenter/rollout.go
+++ b/experimenter/rollout.go
@@ -42,7 +42,7 @@
 
 // Run runs the trial.
 func (t RolloutTrial) Run() Rollout {
-	w := NewToday(t.Seed, t.MaxDown, func(cfg *assembler.Config) { cfg.Planner.OneRackOnly = t.OneByOne })
+	w := NewToday(t.Seed, t.MaxDown, func(cfg *assembler.Config) { cfg.Planner.OneByOne = t.OneByOne })
 	w.cfg.Reboot = rolloutReboot
 	out := w.beforeRollout(t.MaxDown)
 	begin := w.Now()
--- a/planner/state.go
+++ b/planner/state.go
@@ -17,13 +17,12 @@
 
 // Config holds the times of a planner.
 type Config struct {
-	LostAfter     time.Duration // silence after which an instance is lost
-	RebootLimit   time.Duration // longest maintenance before it counts as failed
-	ProposalWait  time.Duration // before a proposal is tried again
-	Every         time.Duration // time between two looks
-	MoveAfter     time.Duration // how long a pool must lack instances before one moves to it
-	OneRackOnly   bool          // baseline: one instance at a time in the whole fleet
-	NoMaintenance bool
+	LostAfter    time.Duration // silence after which an instance is lost
+	RebootLimit  time.Duration // longest maintenance before it counts as failed
+	ProposalWait time.Duration // before a proposal is tried again
+	Every        time.Duration // time between two looks
+	MoveAfter    time.Duration // how long a pool must lack instances before one moves to it
+	OneByOne     bool          // baseline: one instance at a time in the whole fleet
 }
 
 // WithDefaults fills in what is zero.
--- a/planner/wave.go
+++ b/planner/wave.go
@@ -16,10 +16,10 @@
 // is left of them is the smallest further loss.
 func (t *turn) proposeWave() {
 	s := t.state.view.State
-	if s.Wave().State != keeper.WaveRunning || t.state.cfg.NoMaintenance {
+	if s.Wave().State != keeper.WaveRunning {
 		return
 	}
-	if t.state.cfg.OneRackOnly && t.anyDown() {
+	if t.state.cfg.OneByOne && t.anyDown() {
 		return
 	}
 	for _, pool := range t.waitingPools() {
@@ -32,7 +32,7 @@
 				break // the next look sees this one as down
 			}
 		}
-		if t.state.cfg.OneRackOnly && len(t.out) > 0 {
+		if t.state.cfg.OneByOne && len(t.out) > 0 {
 			return
 		}
 	}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -1,7 +1,7 @@
 package replicator
 
-// learnerBeats is how many heartbeats make one for a learner: it promises
-// nothing, so it only has to know that its copy is fresh.
+// learnerBeats is how many heartbeats make one for a learner that has all: it
+// promises nothing, so it only has to know that its copy is fresh.
 const learnerBeats = 5
 
 // beat sends to every node that was not sent to for a heartbeat.
@@ -9,7 +9,7 @@
 	s := r.state
 	for _, p := range s.peers {
 		every := s.cfg.Heartbeat
-		if !s.isMember(p.name, p.disk) && p.disk != "" {
+		if !s.isMember(p.name, p.disk) && p.commit >= s.commit {
 			every *= learnerBeats
 		}
 		if r.hears(p.name) && r.now.Sub(p.beatAt) >= every {
@@ -138,6 +138,7 @@
 		p = progress{name: m.From, disk: m.Disk, next: p.next, beatAt: p.beatAt}
 	}
 	p.sentAt = m.SentAt
+	p.commit = max(p.commit, m.Commit)
 	if m.Echo.After(p.ackedAt) {
 		p.ackedAt = m.Echo
 	}
--- a/replicator/state.go
+++ b/replicator/state.go
@@ -24,6 +24,7 @@
 	name    string
 	disk    string
 	match   uint64    // known to be on the node
+	commit  uint64    // known to be committed there
 	next    uint64    // the next entry to send
 	ackedAt time.Time // the leader's time of the last message that the node answered
 	sentAt  time.Time // the node's time in its last answer
--- a/runner/duty.go
+++ b/runner/duty.go
@@ -11,7 +11,6 @@
 
 // Config describes a duty.
 type Config[T any] struct {
-	Name     string
 	Size     int                            // capacity of the request ring, in messages
 	Control  int                            // capacity of the control ring, in messages
 	Interval time.Duration                  // time between ticks; zero means no ticks
--- a/runner/line.go
+++ b/runner/line.go
@@ -36,7 +36,6 @@
 			}
 		}
 		l.duties[stage.Name] = NewDuty(Config[any]{
-			Name:     stage.Name.String(),
 			Size:     cfg.Requests,
 			Control:  cfg.Control,
 			Interval: stage.Tick,
