An entry instance costs less; listeners do not share a TLS config

Cause: each arrival copied 13 kB, since a persistent list copies a node of 32 requests; each decision woke the reporter. Lists hold pointers, decisions gather for 20 ms.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -14,13 +14,14 @@
 // runMeans is how many mean run times a request is left to run before its deadline.
 const runMeans = 2
 
-// queue holds the waiting requests of one customer for one service.
+// queue holds the waiting requests of one customer for one service. The lists
+// hold pointers, since a list copies a node of 32 items at each change.
 type queue struct {
 	customer string
 	weight   int
 	inUse    int
-	urgent   *immutable.List[messenger.Request]
-	normal   *immutable.List[messenger.Request]
+	urgent   *immutable.List[*messenger.Request]
+	normal   *immutable.List[*messenger.Request]
 	streak   int     // urgent requests picked since the last normal one
 	picked   uint64  // number of the last pick
 	mean     float64 // running mean of the demand, in slots
@@ -31,8 +32,8 @@
 	return queue{
 		customer: customer,
 		weight:   max(weight, 1),
-		urgent:   immutable.NewList[messenger.Request](),
-		normal:   immutable.NewList[messenger.Request](),
+		urgent:   immutable.NewList[*messenger.Request](),
+		normal:   immutable.NewList[*messenger.Request](),
 	}
 }
 
@@ -56,9 +57,9 @@
 
 func (q queue) withRequest(r messenger.Request) queue {
 	if r.IsUrgent() {
-		q.urgent = q.urgent.Append(r)
+		q.urgent = q.urgent.Append(&r)
 	} else {
-		q.normal = q.normal.Append(r)
+		q.normal = q.normal.Append(&r)
 	}
 	return q
 }
@@ -73,9 +74,9 @@
 
 func (q queue) head() messenger.Request {
 	if q.picksUrgent() {
-		return q.urgent.Get(0)
+		return *q.urgent.Get(0)
 	}
-	return q.normal.Get(0)
+	return *q.normal.Get(0)
 }
 
 func (q queue) withoutHead() queue {
@@ -107,20 +108,20 @@
 	return q, dropped
 }
 
-func filter(list *immutable.List[messenger.Request], drop func(messenger.Request) bool, dropped []messenger.Request) (*immutable.List[messenger.Request], []messenger.Request) {
+func filter(list *immutable.List[*messenger.Request], drop func(messenger.Request) bool, dropped []messenger.Request) (*immutable.List[*messenger.Request], []messenger.Request) {
 	found := false
 	for it := list.Iterator(); !it.Done(); {
 		_, r := it.Next()
-		found = found || drop(r)
+		found = found || drop(*r)
 	}
 	if !found {
 		return list, dropped
 	}
-	kept := immutable.NewListBuilder[messenger.Request]()
+	kept := immutable.NewListBuilder[*messenger.Request]()
 	for it := list.Iterator(); !it.Done(); {
 		_, r := it.Next()
-		if drop(r) {
-			dropped = append(dropped, r)
+		if drop(*r) {
+			dropped = append(dropped, *r)
 			continue
 		}
 		kept.Append(r)
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Apply is the state after one command and what the command came to.
@@ -317,8 +319,10 @@
 	return s
 }
 
+// commandDigest tells two changes under one change ID apart.
 func commandDigest(c Command) string {
-	return fmt.Sprintf("%d %v %d %s %s %d %d %d", c.Kind, c.Declarations, c.Revision, c.Instance.Name, c.Target, c.Instance.Epoch, c.MaxFailed, c.Wave)
+	text := fmt.Sprintf("%d %v %d %s %s %d %d %d", c.Kind, c.Declarations, c.Revision, c.Instance.Name, c.Target, c.Instance.Epoch, c.MaxFailed, c.Wave)
+	return fmt.Sprintf("%016x", xxhash.Sum64String(text))
 }
 
 func learnMean(mean, sample time.Duration) time.Duration {
--- a/placer/state.go
+++ b/placer/state.go
@@ -30,7 +30,7 @@
 type State struct {
 	cfg     Config
 	workers *immutable.SortedMap[string, worker]
-	blocked *immutable.List[messenger.Request] // admitted, but no endpoint had room
+	blocked *immutable.List[*messenger.Request] // admitted, but no endpoint had room
 	jobs    jobs
 	tokens  float64 // retries that may be spent
 	draws   uint64
@@ -44,7 +44,7 @@
 	return State{
 		cfg:     cfg,
 		workers: immutable.NewSortedMap[string, worker](nil),
-		blocked: immutable.NewList[messenger.Request](),
+		blocked: immutable.NewList[*messenger.Request](),
 		jobs:    newJobs(),
 		tokens:  retryMost,
 	}
--- a/placer/turn.go
+++ b/placer/turn.go
@@ -69,15 +69,15 @@
 		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
 		return
 	}
-	open := t.openWorkers(r)
+	open, reason := t.openWorkers(r)
 	if len(open) == 0 {
-		t.state.blocked = t.state.blocked.Append(r)
+		t.state.blocked = t.state.blocked.Append(&r)
 		return
 	}
 	w := t.choose(open)
 	t.state = t.state.withWorker(w.withInFlight(1))
 	r = r.WithEndpoint(w.endpoint)
-	t.decided("placed", r, len(open), "")
+	t.decided("placed", r, len(open), reason)
 	if r.NeedsClaim() {
 		t.send(messenger.Claimer, messenger.Claim{Request: r})
 	} else {
@@ -86,8 +86,8 @@
 }
 
 // openWorkers are the endpoints with room: those of the own zone if there are
-// any, and those that the request was not on before if there are any.
-func (t *turn) openWorkers(r messenger.Request) []worker {
+// any, and those that the request was not on before if there are any. It says which.
+func (t *turn) openWorkers(r messenger.Request) (open []worker, reason string) {
 	var near, far, tried []worker
 	for it := t.state.workers.Iterator(); !it.Done(); {
 		_, w, _ := it.Next()
@@ -104,12 +104,12 @@
 		}
 	}
 	if len(near) > 0 {
-		return near
+		return near, "less used of two in the own zone"
 	}
 	if len(far) > 0 {
-		return far
+		return far, "less used of two, the own zone has no room"
 	}
-	return tried
+	return tried, "only one that was tried before has room"
 }
 
 // choose takes the less used of two random endpoints, so that several entry
@@ -239,24 +239,27 @@
 // unblock places what waits for room, in order.
 func (t *turn) unblock() {
 	waiting := t.state.blocked
-	t.state.blocked = immutable.NewList[messenger.Request]()
+	if waiting.Len() == 0 {
+		return
+	}
+	t.state.blocked = immutable.NewList[*messenger.Request]()
 	for it := waiting.Iterator(); !it.Done(); {
 		_, r := it.Next()
-		t.place(r)
+		t.place(*r)
 	}
 }
 
 // expire refuses what found no room in time.
 func (t *turn) expire() {
 	waiting := t.state.blocked
-	t.state.blocked = immutable.NewList[messenger.Request]()
+	t.state.blocked = immutable.NewList[*messenger.Request]()
 	for it := waiting.Iterator(); !it.Done(); {
 		_, r := it.Next()
 		if t.now.Before(r.StartBy) {
 			t.state.blocked = t.state.blocked.Append(r)
 			continue
 		}
-		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+		t.refuse(*r, messenger.DeadlinePast, statusUnavailable)
 	}
 }
 
@@ -271,7 +274,7 @@
 			rest = rest.Append(t.state.blocked.Get(k))
 		}
 		t.state.blocked = rest
-		t.refuse(r, messenger.Cancelled, statusUnavailable)
+		t.refuse(*r, messenger.Cancelled, statusUnavailable)
 		return
 	}
 }
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -20,6 +20,7 @@
 const (
 	ringSize = 2048
 	kept     = 2048 // decisions that can be explained
+	gather   = 20 * time.Millisecond
 )
 
 // Config describes a reporter.
@@ -35,6 +36,7 @@
 	ring   *buffer.Ring[messenger.Decision]
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	placed int // placements so far, for the goroutine alone
 	mu     sync.Mutex
 	last   []messenger.Decision
 	next   int
@@ -50,20 +52,15 @@
 		last:     make([]messenger.Decision, 0, kept),
 	}
 	r.done.Go(func() {
-		placed := 0
 		for {
 			d, err := r.ring.Take(ctx)
 			if err != nil {
+				r.reportRest(cfg)
 				return
 			}
-			r.keep(d)
-			if d.What == "placed" {
-				placed++
-				if placed%max(cfg.Every, 1) != 0 {
-					continue
-				}
-			}
-			write(cfg.Log, d)
+			r.report(cfg, d)
+			r.reportRest(cfg)
+			pause(ctx)
 		}
 	})
 	return r
@@ -103,6 +100,35 @@
 	metrics.GetOrRegisterTimer(name, r.Registry).Update(d)
 }
 
+// reportRest reports what waits.
+func (r *Reporter) reportRest(cfg Config) {
+	for d, ok := r.ring.TryTake(); ok; d, ok = r.ring.TryTake() {
+		r.report(cfg, d)
+	}
+}
+
+// report keeps a decision and writes its line, if it is not one that is sampled out.
+func (r *Reporter) report(cfg Config, d messenger.Decision) {
+	r.keep(d)
+	if d.What == "placed" {
+		r.placed++
+		if r.placed%max(cfg.Every, 1) != 0 {
+			return
+		}
+	}
+	write(cfg.Log, d)
+}
+
+// pause lets decisions gather, so that not each of them wakes this goroutine.
+func pause(ctx context.Context) {
+	timer := time.NewTimer(gather)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func write(log zerolog.Logger, d messenger.Decision) {
 	e := log.Info().Str("stage", d.Stage.String())
 	if d.Request > 0 {
--- a/server/listeners.go
+++ b/server/listeners.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -67,7 +68,8 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.cfg.Settings.Limits.Header,
-		TLSConfig:         config,
+		TLSConfig:         config.Clone(), // net/http changes it
+		ErrorLog:          log.New(s.cfg.Log, "", 0),
 	}
 	s.servers = append(s.servers, server)
 	s.done.Go(func() {
