--- a/cmd/laburnumlab/overhead.go
+++ b/cmd/laburnumlab/overhead.go
@@ -32,6 +32,7 @@
 	For    time.Duration `default:"4s" help:"Time of each phase."`
 	Rounds int           `default:"3" help:"Rounds; the phases of a round follow each other."`
 	Bytes  int           `default:"1024" help:"Bytes of a body."`
+	NoLog  bool          `help:"Write no log lines, to see what they cost."`
 }
 
 const (
@@ -60,7 +61,7 @@
 // Run runs the command: a direct call, a bare net/http hop, an entry instance,
 // and an entry instance with a claim, at the same rate, in one process.
 func (c overheadCommand) Run() error {
-	b, err := newBench()
+	b, err := newBench(c.NoLog)
 	if err != nil {
 		return err
 	}
@@ -178,7 +179,7 @@
 	paths    []path
 }
 
-func newBench() (*bench, error) {
+func newBench(noLog bool) (*bench, error) {
 	set, clean, err := server.DevSettings()
 	if err != nil {
 		return nil, fmt.Errorf("make settings: %w", err)
@@ -191,7 +192,11 @@
 		}
 	}
 	set.Timing.Leave = 0
-	b.server, err = server.NewServer(server.Config{Settings: set, Log: zerolog.New(io.Discard), Failed: func(error) {}})
+	log := zerolog.New(io.Discard).Level(zerolog.InfoLevel)
+	if noLog {
+		log = zerolog.Nop()
+	}
+	b.server, err = server.NewServer(server.Config{Settings: set, Log: log, Failed: func(error) {}})
 	if err != nil {
 		return nil, fmt.Errorf("start entry instance: %w", err)
 	}
