--- a/cmd/laburnumlab/main.go
+++ b/cmd/laburnumlab/main.go
@@ -14,6 +14,7 @@
 )
 
 type commands struct {
+	All      allCommand      `cmd:"" help:"All tables on fake time, each beside its baselines in the same run."`
 	Flood    floodCommand    `cmd:"" help:"Service that other work keeps in a flood."`
 	Rotation rotationCommand `cmd:"" help:"Goodput under rotating demand."`
 	Overhead overheadCommand `cmd:"" help:"What an entry instance adds to a direct call, beside a bare hop. Run it in the project's folder."`
@@ -127,3 +128,30 @@
 	}
 	return nil
 }
+
+type allCommand struct {
+	Seeds uint64 `default:"1" help:"Number of seeds."`
+}
+
+// Run runs the command.
+func (c allCommand) Run() error {
+	tables := []struct {
+		title string
+		run   func() error
+	}{
+		{"Flood", floodCommand{Seeds: c.Seeds, Fault: "none"}.Run},
+		{"Flood, a rack lost", floodCommand{Seeds: c.Seeds, Fault: "rack lost"}.Run},
+		{"Flood, a zone cut", floodCommand{Seeds: c.Seeds, Fault: "zone cut"}.Run},
+		{"Rotation", rotationCommand{Seeds: c.Seeds}.Run},
+		{"Roll-out", rolloutCommand{Seeds: c.Seeds, MaxDown: 3}.Run},
+		{"Capacity", capacityCommand{Sizes: []int{49, 500, 1500, 4100}}.Run},
+	}
+	for _, t := range tables {
+		fmt.Printf("\n## %s\n\n", t.title)
+		err := t.run()
+		if err != nil {
+			return fmt.Errorf("%s: %w", t.title, err)
+		}
+	}
+	return nil
+}
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -67,12 +68,21 @@
 	os.Exit(code)
 }
 
+// freeAddress finds a port outside the range that outgoing connections take
+// theirs from, so that none of those has it when it is listened at.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	const first, count, tries = 20_000, 12_000, 100
+	for range tries {
+		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			must.NoError(t, l.Close())
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // newTestFleet writes the settings of three voters, one a zone, and one instance without a disk.
