An endpoint that cannot be connected to gets nothing for a second

Cause: attempts at endpoints on the other side of the cut failed at once, were tried there again, and each spent a retry, so requests were refused for want of retries. No byte was sent, so such an attempt costs no retry now, and the endpoint is left alone for 1 s.

--- a/placer/turn.go
+++ b/placer/turn.go
@@ -144,7 +144,7 @@
 		t.refuse(r, messenger.BadJob, statusBadJob)
 	case r.Breaks > mostBreaks || r.Attempt > mostUnstarted:
 		t.refuse(r, messenger.RetriesSpent, statusUnavailable)
-	case x.Reason == messenger.SlotsFull:
+	case x.Reason == messenger.SlotsFull || x.Kind == messenger.Unsent:
 		t.place(r) // the endpoint did no work, so it costs no retry
 	case t.state.tokens < 1 && !t.state.cfg.NoBudget:
 		t.refuse(r, messenger.RetriesSpent, statusUnavailable)
@@ -169,6 +169,9 @@
 	if x.Reason == messenger.IsLeaving || x.Reason == messenger.WrongEpoch {
 		w = w.withLeaving(true) // until the next announcement says otherwise
 	}
+	if x.Kind == messenger.Unsent {
+		w = w.withSuspicion(t.now)
+	}
 	if !w.up && w.inFlight == 0 {
 		t.state.workers = t.state.workers.Delete(name)
 		return
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -15,6 +15,7 @@
 	longestEjection = 5 * time.Minute
 	probationRuns   = 3               // good results that end a probation
 	staleLoad       = 3 * time.Second // age at which the load told by others no longer counts
+	suspicion       = time.Second     // without work after a connection could not be made
 )
 
 // worker is an endpoint as this instance sees it.
@@ -25,6 +26,7 @@
 	inFlight int // attempts of this instance
 	others   int // slots in use by other instances, as last told
 	toldAt   time.Time
+	suspect  time.Time // no connection could be made, so it gets no work until then
 	health   health
 }
 
@@ -55,7 +57,8 @@
 }
 
 func (w worker) isOpen(now time.Time) bool {
-	return w.up && !w.leaving && !now.Before(w.health.ejectedUntil) && w.room(now) > 0
+	barred := now.Before(w.health.ejectedUntil) || now.Before(w.suspect)
+	return w.up && !w.leaving && !barred && w.room(now) > 0
 }
 
 func (w worker) used() float64 {
@@ -74,6 +77,11 @@
 	return w
 }
 
+func (w worker) withSuspicion(now time.Time) worker {
+	w.suspect = now.Add(suspicion)
+	return w
+}
+
 func (w worker) withLeaving(leaving bool) worker {
 	w.leaving = leaving
 	return w
