--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,13 +20,13 @@
 
 // The header fields of the endpoints' contract.
 const (
-	HeaderAttempt  = "Laburnum-Attempt"     // names the attempt
-	HeaderRequest  = "Laburnum-Request"     // the request of which it is an attempt
-	HeaderOnce     = "Laburnum-Once"        // "1": the attempt must not start twice
-	HeaderInstance = "Laburnum-Instance"    // the instance that is meant
-	HeaderEpoch    = "Laburnum-Epoch"       // the epoch that it must have
-	HeaderService  = "Laburnum-Service"     //
-	HeaderCustomer = "Laburnum-Customer"    //
+	HeaderAttempt  = "Laburnum-Attempt"  // names the attempt
+	HeaderRequest  = "Laburnum-Request"  // the request of which it is an attempt
+	HeaderOnce     = "Laburnum-Once"     // "1": the attempt must not start twice
+	HeaderInstance = "Laburnum-Instance" // the instance that is meant
+	HeaderEpoch    = "Laburnum-Epoch"    // the epoch that it must have
+	HeaderService  = "Laburnum-Service"
+	HeaderCustomer = "Laburnum-Customer"
 	HeaderKey      = "Laburnum-Key"         // the caller's key; under its own name net/http would send again by itself
 	HeaderDeadline = "Laburnum-Deadline"    // Unix milliseconds
 	HeaderStarted  = "Laburnum-Not-Started" // in an answer: why the attempt did not start and never will
--- a/forwarder/revoke.go
+++ b/forwarder/revoke.go
@@ -26,8 +26,8 @@
 
 // The states of an attempt in a RevokeReply.
 const (
-	StateRevoked  = "revoked"  // it did not start and never will
-	StateRunning  = "running"  //
+	StateRevoked  = "revoked" // it did not start and never will
+	StateRunning  = "running"
 	StateFinished = "finished" // the answer is with it
 	StateUnknown  = "unknown"  // the endpoint restarted since, or forgot
 )
