One reading of an endpoint's status, one set of statuses, a dead message removed

The same reading of a status into answered or failed stood in answerer, forwarder and experimenter: messenger.WholeAnswer serves all. Four packages named the same HTTP statuses: messenger names them once. admitter.Stop was sent by nobody (the receiver refuses what is new): removed. Remembered changes were scanned at every command; only a named change is looked up, so only then are old ones forgotten.

--- a/admitter/state.go
+++ b/admitter/state.go
@@ -26,7 +26,6 @@
 	picks    uint64
 	told     []messenger.Demand // to the tracker
 	toldAt   time.Time
-	stopping bool
 }
 
 // pool is what the admitter knows of a pool.
@@ -55,9 +54,6 @@
 	}
 }
 
-// Stop tells the admitter to refuse what is new.
-type Stop struct{}
-
 // Step takes one message.
 func (s State) Step(now time.Time, body any) (State, []messenger.Message) {
 	t := &turn{state: s, now: now}
@@ -76,8 +72,6 @@
 		t.pumpAll()
 	case messenger.Peers:
 		t.state.remotes = t.state.remotes.Set(m.From, remoteDemand{from: m.From, at: now, demands: m.Demands})
-	case Stop:
-		t.state.stopping = true
 	case messenger.Tick:
 		t.tick()
 	}
--- a/admitter/turn.go
+++ b/admitter/turn.go
@@ -8,12 +8,6 @@
 	"laburnumwind/messenger"
 )
 
-// The statuses of refusals.
-const (
-	statusTooMany     = 429
-	statusUnavailable = 503
-)
-
 // turn gathers what one step does.
 type turn struct {
 	state State
@@ -45,11 +39,7 @@
 	r := m.Request
 	v, ok := t.state.services.Get(r.Service)
 	if !ok || t.state.reachable(v) == 0 {
-		t.refuse(r, messenger.NoEndpoint, statusUnavailable)
-		return
-	}
-	if t.state.stopping {
-		t.refuse(r, messenger.Stopping, statusUnavailable)
+		t.refuse(r, messenger.NoEndpoint, messenger.StatusUnavailable)
 		return
 	}
 	q, ok := v.queues.Get(r.Customer)
@@ -58,12 +48,12 @@
 		q = newQueue(r.Customer, c.Weight)
 	}
 	if t.isTooLate(v, q, r) {
-		t.refuse(r, messenger.QueueFull, statusTooMany)
+		t.refuse(r, messenger.QueueFull, messenger.StatusTooMany)
 		return
 	}
 	r = r.WithStartBy(startBy(t.state.cfg, r, v.mean))
 	if !t.now.Before(r.StartBy) {
-		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+		t.refuse(r, messenger.DeadlinePast, messenger.StatusUnavailable)
 		return
 	}
 	r.Pool = v.home
@@ -119,7 +109,7 @@
 	t.state = t.state.withService(v.withQueue(q))
 	t.state.waiting = t.state.waiting.Delete(m.ID)
 	for _, r := range dropped {
-		t.refuse(r, messenger.Cancelled, statusUnavailable)
+		t.refuse(r, messenger.Cancelled, messenger.StatusUnavailable)
 	}
 }
 
@@ -192,7 +182,7 @@
 			v = v.withQueue(q)
 			for _, r := range dropped {
 				t.state.waiting = t.state.waiting.Delete(r.ID)
-				t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+				t.refuse(r, messenger.DeadlinePast, messenger.StatusUnavailable)
 			}
 		}
 		t.state = t.state.withService(v)
@@ -310,7 +300,7 @@
 	if !t.now.Before(r.StartBy) {
 		t.state = t.state.withService(v.withQueue(q.withoutHead()))
 		t.state.waiting = t.state.waiting.Delete(r.ID)
-		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+		t.refuse(r, messenger.DeadlinePast, messenger.StatusUnavailable)
 		return
 	}
 	t.state.picks++
--- a/answerer/verdict.go
+++ b/answerer/verdict.go
@@ -2,14 +2,6 @@
 
 import "laburnumwind/messenger"
 
-// The statuses of answers for attempts that broke.
-const (
-	statusServerError    = 500
-	statusBadGateway     = 502
-	statusUnavailable    = 503
-	statusGatewayTimeout = 504
-)
-
 // Verdict says what to do after an attempt.
 type Verdict struct {
 	Again  bool             // the request may be placed again
@@ -29,32 +21,27 @@
 	case messenger.Unsent:
 		return Verdict{Again: true, Failed: true}
 	case messenger.TooBig:
-		return Verdict{Answer: messenger.Answer{Outcome: messenger.Failed, Reason: messenger.AnswerTooBig, Status: statusBadGateway}}
+		return Verdict{Answer: messenger.Answer{Outcome: messenger.Failed, Reason: messenger.AnswerTooBig, Status: messenger.StatusBadGateway}}
 	case messenger.Late:
-		return Verdict{Failed: true, Answer: broken(messenger.TimedOut, statusGatewayTimeout)}
+		return Verdict{Failed: true, Answer: broken(messenger.TimedOut, messenger.StatusGatewayTimeout)}
 	}
 	if r.Idempotent {
 		return Verdict{Again: true, Failed: true}
 	}
-	return Verdict{Failed: true, Answer: broken(messenger.Broken, statusBadGateway)}
+	return Verdict{Failed: true, Answer: broken(messenger.Broken, messenger.StatusBadGateway)}
 }
 
-func judgeWhole(answer messenger.Answer) Verdict {
-	answer.Outcome = messenger.Answered
-	if answer.Status < statusServerError {
-		return Verdict{Answer: answer}
-	}
-	answer.Outcome = messenger.Failed
-	answer.Reason = messenger.ServerError
-	return Verdict{Failed: true, Answer: answer}
+func judgeWhole(a messenger.Answer) Verdict {
+	answer := messenger.WholeAnswer(a.Status, a.Header, a.Body)
+	return Verdict{Failed: answer.Outcome == messenger.Failed, Answer: answer}
 }
 
 func judgeNotStarted(x messenger.Exchange) Verdict {
 	switch x.Reason {
 	case messenger.IsRevoked:
-		return Verdict{Answer: messenger.Refusal(messenger.Broken, statusUnavailable, 0)}
+		return Verdict{Answer: messenger.Refusal(messenger.Broken, messenger.StatusUnavailable, 0)}
 	case messenger.WasDuplicate:
-		return Verdict{Answer: broken(messenger.Broken, statusBadGateway)}
+		return Verdict{Answer: broken(messenger.Broken, messenger.StatusBadGateway)}
 	}
 	return Verdict{Again: true}
 }
--- a/claimer/stage.go
+++ b/claimer/stage.go
@@ -54,14 +54,6 @@
 	Leads    bool
 }
 
-// The statuses of answers about keys.
-const (
-	statusConflict    = 409
-	statusGone        = 410
-	statusMismatch    = 422
-	statusUnavailable = 503
-)
-
 // settleTime is how long a settlement is tried; then the sweep finds its claim.
 const settleTime = time.Minute
 
@@ -187,13 +179,13 @@
 		}
 		return answer
 	case WasUnknown:
-		return messenger.Answer{Outcome: messenger.Uncertain, Reason: messenger.KeyUnknown, Status: statusConflict}
+		return messenger.Answer{Outcome: messenger.Uncertain, Reason: messenger.KeyUnknown, Status: messenger.StatusConflict}
 	case WasMismatch:
-		return messenger.Refusal(messenger.KeyMismatch, statusMismatch, 0)
+		return messenger.Refusal(messenger.KeyMismatch, messenger.StatusUnprocessable, 0)
 	case WasExpired:
-		return messenger.Refusal(messenger.KeyExpired, statusGone, 0)
+		return messenger.Refusal(messenger.KeyExpired, messenger.StatusGone, 0)
 	}
-	return messenger.Refusal(messenger.KeyRunning, statusConflict, t.state.cfg.RetryAfter)
+	return messenger.Refusal(messenger.KeyRunning, messenger.StatusConflict, t.state.cfg.RetryAfter)
 }
 
 // close ends a request of which this instance forwarded nothing under the claim.
@@ -260,7 +252,7 @@
 // this instance never forwards it, and the settlement says so.
 func (t *turn) giveUp(p pending) {
 	t.state.pending = t.state.pending.Delete(p.ticket)
-	answer := messenger.Refusal(messenger.NoQuorum, statusUnavailable, t.state.cfg.RetryAfter)
+	answer := messenger.Refusal(messenger.NoQuorum, messenger.StatusUnavailable, t.state.cfg.RetryAfter)
 	t.close(p.request, answer)
 	t.settle(p.command.Customer, p.command.Key, p.command.AttemptID, answer)
 	if p.command.Kind == Again {
@@ -304,9 +296,9 @@
 	answer := m.Answer
 	switch m.State {
 	case messenger.NeverRun:
-		answer = messenger.Refusal(messenger.Broken, statusUnavailable, 0)
+		answer = messenger.Refusal(messenger.Broken, messenger.StatusUnavailable, 0)
 	case messenger.Forgotten:
-		answer = messenger.Answer{Outcome: messenger.Uncertain, Reason: messenger.KeyUnknown, Status: statusConflict}
+		answer = messenger.Answer{Outcome: messenger.Uncertain, Reason: messenger.KeyUnknown, Status: messenger.StatusConflict}
 	case messenger.Finished:
 	default:
 		return // asked again later
--- a/experimenter/worker.go
+++ b/experimenter/worker.go
@@ -37,7 +37,6 @@
 	announceEvery = time.Second
 	failTime      = 5 * time.Millisecond
 	statusOK      = 200
-	statusFailed  = 500
 )
 
 func (k *Worker) start() {
@@ -222,7 +221,7 @@
 	w := k.world
 	status, took := statusOK, job.Run
 	if k.Fail || job.Bad {
-		status, took = statusFailed, min(failTime, job.Run)
+		status, took = messenger.StatusServerError, min(failTime, job.Run)
 	}
 	run := k.run
 	w.After(took, func() {
@@ -275,10 +274,5 @@
 	case forwarder.StateRunning:
 		return messenger.Revoked{State: messenger.Running}
 	}
-	answer := messenger.Answer{Outcome: messenger.Answered, Status: r.Status, Body: r.Body}
-	if r.Status >= statusFailed {
-		answer.Outcome = messenger.Failed
-		answer.Reason = messenger.ServerError
-	}
-	return messenger.Revoked{State: messenger.Finished, Answer: answer}
+	return messenger.Revoked{State: messenger.Finished, Answer: messenger.WholeAnswer(r.Status, nil, r.Body)}
 }
--- a/forwarder/revoke.go
+++ b/forwarder/revoke.go
@@ -41,9 +41,6 @@
 	Body        []byte `json:"body,omitempty"`
 }
 
-// errServerStatus is the first status of a failed run.
-const errServerStatus = 500
-
 func (f *Forwarder) revoke(ctx context.Context, m messenger.Revoke) messenger.Revoked {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
@@ -91,13 +88,9 @@
 }
 
 func finished(reply RevokeReply) messenger.Answer {
-	answer := messenger.Answer{Outcome: messenger.Answered, Status: reply.Status, Body: reply.Body}
-	if reply.Status >= errServerStatus {
-		answer.Outcome = messenger.Failed
-		answer.Reason = messenger.ServerError
-	}
+	var header []messenger.Field
 	if reply.ContentType != "" {
-		answer.Header = []messenger.Field{{Name: "Content-Type", Value: reply.ContentType}}
+		header = []messenger.Field{{Name: "Content-Type", Value: reply.ContentType}}
 	}
-	return answer
+	return messenger.WholeAnswer(reply.Status, header, reply.Body)
 }
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -12,10 +12,10 @@
 func (s State) Apply(now time.Time, c Command) (State, Result) {
 	now = later(now, s.now)
 	s.now = now
-	s = s.forgetChanges(now)
 	if c.ChangeID == "" {
 		return s.apply(now, c)
 	}
+	s = s.forgetChanges(now)
 	change := c.Proposer + "\x00" + c.ChangeID
 	digest := commandDigest(c)
 	first, ok := s.changes.Get(change)
--- a/messenger/request.go
+++ b/messenger/request.go
@@ -164,3 +164,25 @@
 func Refusal(reason Reason, status int, retryAfter time.Duration) Answer {
 	return Answer{Outcome: Refused, Reason: reason, Status: status, RetryAfter: retryAfter}
 }
+
+// WholeAnswer is an endpoint's whole answer: it failed if its status says so.
+func WholeAnswer(status int, header []Field, body []byte) Answer {
+	answer := Answer{Outcome: Answered, Status: status, Header: header, Body: body}
+	if status >= StatusServerError {
+		answer.Outcome = Failed
+		answer.Reason = ServerError
+	}
+	return answer
+}
+
+// The HTTP statuses of answers that stages give.
+const (
+	StatusConflict       = 409
+	StatusGone           = 410
+	StatusUnprocessable  = 422
+	StatusTooMany        = 429
+	StatusServerError    = 500 // and above: the endpoint ran the request and failed
+	StatusBadGateway     = 502
+	StatusUnavailable    = 503
+	StatusGatewayTimeout = 504
+)
--- a/placer/turn.go
+++ b/placer/turn.go
@@ -9,13 +9,6 @@
 	"laburnumwind/messenger"
 )
 
-// The statuses of answers that a placer gives.
-const (
-	statusBadJob      = 422
-	statusBadGateway  = 502
-	statusUnavailable = 503
-)
-
 // turn gathers what one step does.
 type turn struct {
 	state State
@@ -30,7 +23,7 @@
 func (t *turn) admitted(r messenger.Request) {
 	t.state.tokens = min(t.state.tokens+retryDeposit, retryMost)
 	if t.state.jobs.isBad(t.now, r.Digest) {
-		t.refuse(r, messenger.BadJob, statusBadJob)
+		t.refuse(r, messenger.BadJob, messenger.StatusUnprocessable)
 		return
 	}
 	t.place(r)
@@ -40,7 +33,7 @@
 func (t *turn) refuse(r messenger.Request, reason messenger.Reason, status int) {
 	answer := messenger.Refusal(reason, status, t.state.cfg.RetryAfter)
 	if r.Breaks > 0 { // an idempotent one, of which an attempt was sent
-		answer = messenger.Answer{Outcome: messenger.Uncertain, Reason: reason, Status: statusBadGateway}
+		answer = messenger.Answer{Outcome: messenger.Uncertain, Reason: reason, Status: messenger.StatusBadGateway}
 	}
 	t.decided("refused", r, 0, string(reason))
 	t.send(messenger.Admitter, messenger.Release{Request: r})
@@ -66,7 +59,7 @@
 
 func (t *turn) place(r messenger.Request) {
 	if !t.now.Before(r.StartBy) {
-		t.refuse(r, messenger.DeadlinePast, statusUnavailable)
+		t.refuse(r, messenger.DeadlinePast, messenger.StatusUnavailable)
 		return
 	}
 	open, reason := t.openWorkers(r)
@@ -141,13 +134,13 @@
 	r := x.Request
 	switch {
 	case t.state.jobs.isBad(t.now, r.Digest) && m.Failed:
-		t.refuse(r, messenger.BadJob, statusBadJob)
+		t.refuse(r, messenger.BadJob, messenger.StatusUnprocessable)
 	case r.Breaks > mostBreaks || r.Attempt > mostUnstarted:
-		t.refuse(r, messenger.RetriesSpent, statusUnavailable)
+		t.refuse(r, messenger.RetriesSpent, messenger.StatusUnavailable)
 	case x.Reason == messenger.SlotsFull || x.Kind == messenger.Unsent:
 		t.place(r) // the endpoint did no work, so it costs no retry
 	case t.state.tokens < 1 && !t.state.cfg.NoBudget:
-		t.refuse(r, messenger.RetriesSpent, statusUnavailable)
+		t.refuse(r, messenger.RetriesSpent, messenger.StatusUnavailable)
 	default:
 		t.state.tokens--
 		t.place(r)
@@ -262,7 +255,7 @@
 			t.state.blocked = t.state.blocked.Append(r)
 			continue
 		}
-		t.refuse(*r, messenger.DeadlinePast, statusUnavailable)
+		t.refuse(*r, messenger.DeadlinePast, messenger.StatusUnavailable)
 	}
 }
 
@@ -277,7 +270,7 @@
 			rest = rest.Append(t.state.blocked.Get(k))
 		}
 		t.state.blocked = rest
-		t.refuse(*r, messenger.Cancelled, statusUnavailable)
+		t.refuse(*r, messenger.Cancelled, messenger.StatusUnavailable)
 		return
 	}
 }
