A leaving endpoint goes on refusing for 2 s before it closes

Cause, concluded from the code and not traced: the stand-in closed right after it announced its leave, so an entry instance that had not heard yet could send on a connection that was just closing, and cannot tell whether the attempt ran. The check is unchanged. After: go test -race ./server -run PlannedStop -count=8 passed 8 of 8.

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -22,6 +22,7 @@
 )
 
 const (
+	leaveTime         = 2 * time.Second // in which every entry instance hears of a leave
 	announceTimeout   = time.Second
 	retryInterval     = 200 * time.Millisecond
 	stopTimeout       = 30 * time.Second
@@ -134,6 +135,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	e.Leave(ctx)
+	<-time.After(leaveTime) // an entry instance that has not heard yet is refused, not cut off
 	e.mu.Lock()
 	server := e.server
 	e.mu.Unlock()
