Tests give each address once

Ruled out: outgoing connections (the port was 28177, below their range), a daemon of an earlier test (its ports were given back). Change: a count, begun at a place that depends on the process, gives each port once. TestAddressesAreGivenOnce draws 800, which the old way fails.

--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
+		"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -68,13 +68,25 @@
 	os.Exit(code)
 }
 
-// freeAddress finds a port outside the range that outgoing connections take
-// theirs from, so that none of those has it when it is listened at.
+const (
+	firstPort = 20_000 // ports from here are outside the range of outgoing connections
+	portCount = 12_000
+)
+
+// portsGiven counts the ports this process has tried, from a place of its own,
+// so that it never gives one twice and two test processes seldom meet.
+var portsGiven atomic.Int64
+
+func init() {
+	portsGiven.Store(int64(os.Getpid()) * 97)
+}
+
+// freeAddress gives an address that it gave to nobody before. A port drawn at
+// random came twice in one fleet now and then, and one daemon of two had no listener.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	const first, count, tries = 20_000, 12_000, 100
-	for range tries {
-		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+portsGiven.Add(1)%portCount)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			must.NoError(t, l.Close())
@@ -85,6 +97,16 @@
 	return ""
 }
 
+func TestAddressesAreGivenOnce(t *testing.T) {
+	const fleets, addresses = 50, 16
+	given := make(map[string]bool)
+	for range fleets * addresses {
+		address := freeAddress(t)
+		must.False(t, given[address], must.Sprintf("%s given twice", address))
+		given[address] = true
+	}
+}
+
 // newTestFleet writes the settings of three voters, one a zone, and one instance without a disk.
 func newTestFleet(t *testing.T) *testFleet {
 	t.Helper()
