--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-		"net"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
