--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -103,6 +104,9 @@
 
 func (in Announcement) fault() string {
 	_, _, err := net.SplitHostPort(in.Address)
+	if err == nil {
+		_, err = url.Parse("http://" + in.Address) // attempts are sent there
+	}
 	switch {
 	case in.Instance == "":
 		return "instance: is empty"
--- a/answerer/state.go
+++ b/answerer/state.go
@@ -9,14 +9,20 @@
 	"laburnumwind/messenger"
 )
 
+// Config describes an answerer.
+type Config struct {
+	Hopeful bool // for proofs: an attempt of which no answer came counts as one that did not start
+}
+
 // State is the immutable value of an answerer.
 type State struct {
+	cfg  Config
 	open *immutable.Map[uint64, bool] // requests without an answer
 }
 
 // NewState returns an answerer without requests.
-func NewState() State {
-	return State{open: immutable.NewMap[uint64, bool](nil)}
+func NewState(cfg Config) State {
+	return State{cfg: cfg, open: immutable.NewMap[uint64, bool](nil)}
 }
 
 // Step takes one message.
@@ -49,6 +55,9 @@
 }
 
 func (s State) exchange(x messenger.Exchange) (State, []messenger.Message) {
+	if s.cfg.Hopeful && x.Kind == messenger.Cut {
+		x.Kind = messenger.Unsent
+	}
 	v := Judge(x)
 	if v.Again {
 		if x.Kind == messenger.Cut || x.Kind == messenger.Late {
--- a/answerer/verdict_test.go
+++ b/answerer/verdict_test.go
@@ -43,7 +43,7 @@
 
 func TestAnswersOnce(t *testing.T) {
 	now := time.Unix(0, 0)
-	s, out := NewState().Step(now, messenger.Open{ID: 7})
+	s, out := NewState(Config{}).Step(now, messenger.Open{ID: 7})
 	must.SliceEmpty(t, out)
 	end := messenger.Close{Request: messenger.Request{ID: 7}, Answer: messenger.Answer{Status: 503}}
 	s, out = s.Step(now, end)
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -21,6 +21,7 @@
 	Admitter     admitter.Config
 	Placer       placer.Config
 	Claimer      claimer.Config
+	Answerer     answerer.Config
 	Tracker      tracker.Config
 	Planner      planner.Config
 	Declarations DeclarationsConfig
@@ -51,7 +52,7 @@
 	n.add(stageOf(messenger.Admitter, admitter.NewState(cfg.Admitter), admitter.State.Step, admitter.State.WakeAt))
 	n.add(stageOf(messenger.Placer, placer.NewState(cfg.Placer), placer.State.Step, placer.State.WakeAt))
 	n.add(stageOf(messenger.Claimer, claimer.NewState(cfg.Claimer, cfg.Ticket), claimer.State.Step, claimer.State.WakeAt))
-	n.add(stageOf(messenger.Answerer, answerer.NewState(), answerer.State.Step, nil))
+	n.add(stageOf(messenger.Answerer, answerer.NewState(cfg.Answerer), answerer.State.Step, nil))
 	n.add(stageOf(messenger.Tracker, tracker.NewState(cfg.Tracker), tracker.State.Step, tracker.State.WakeAt))
 	n.add(stageOf(messenger.Planner, planner.NewState(cfg.Planner, cfg.Ticket), planner.State.Step, planner.State.WakeAt))
 	n.add(declarationsStage(now, cfg, declarations))
--- a/emulator/contract.go
+++ b/emulator/contract.go
@@ -34,6 +34,7 @@
 	attempts    *immutable.Map[string, attempt]
 	order       *immutable.List[string]
 	anyEpoch    bool // for proofs: epochs are not looked at
+	obliging    bool // for proofs: work is taken while leaving
 }
 
 // NewState returns an endpoint that just started and belongs to no pool yet.
@@ -53,6 +54,12 @@
 	return s
 }
 
+// WithoutRefusals returns the endpoint with its mechanism off: it takes work while it leaves.
+func (s State) WithoutRefusals() State {
+	s.obliging = true
+	return s
+}
+
 // Call is what an entry instance says with an attempt.
 type Call struct {
 	Attempt  string
@@ -67,7 +74,7 @@
 	s = s.forget(now)
 	known, ok := s.attempts.Get(c.Attempt)
 	switch {
-	case s.leaving:
+	case s.leaving && !s.obliging:
 		return s, messenger.IsLeaving
 	case c.Instance != instance || c.Epoch < s.epoch && !s.anyEpoch:
 		return s, messenger.WrongEpoch
--- a/experimenter/off_test.go
+++ b/experimenter/off_test.go
@@ -71,6 +71,41 @@
 			},
 			want: "after epoch",
 		},
+		"without a difference between broken and not started a refused request ran": {
+			off: Config{Change: func(cfg *assembler.Config) { cfg.Answerer.Hopeful = true }},
+			act: func(w *World) {
+				for range 40 {
+					w.Submit(w.anyEntry(), Job{Service: "build", Customer: "school", Body: "b", Run: 400 * time.Millisecond})
+				}
+				w.RunFor(100 * time.Millisecond)
+				for _, k := range w.workers {
+					k.Kill()
+				}
+				w.RunFor(12 * time.Second)
+			},
+			want: "was refused",
+		},
+		"without refusals a cut-off zone gives work to an endpoint that left": {
+			off: Config{Contract: emulator.State.WithoutRefusals},
+			act: func(w *World) {
+				k := w.workers[len(w.workers)-1]
+				cutOff := w.Entry("a1")
+				i, _ := cutOff.view.State.Instance(k.Name)
+				w.RunFor(announceEvery)
+				for _, e := range w.entries {
+					e.Isolate(e.Zone == cutOff.Zone)
+				}
+				k.Leave()
+				w.RunFor(leaveBound)
+				for range 60 { // more than the endpoints of its own zone take
+					for range 12 {
+						w.Submit(cutOff, Job{Service: i.Pool, Customer: "school", Body: "b", Run: 60 * time.Millisecond})
+					}
+					w.RunFor(20 * time.Millisecond)
+				}
+			},
+			want: "after it left",
+		},
 		"without budgets a wave takes more down than is allowed": {
 			off: Config{Declared: keeper.State.WithoutBudgets},
 			act: func(w *World) {
--- a/experimenter/worker.go
+++ b/experimenter/worker.go
@@ -36,6 +36,7 @@
 const (
 	announceEvery = time.Second
 	failTime      = 5 * time.Millisecond
+	leaveBound    = 2 * time.Second // after which nothing starts on an endpoint that leaves
 	statusOK      = 200
 )
 
@@ -210,6 +211,9 @@
 		done(messenger.Exchange{Kind: messenger.NotStarted, Reason: reason, InUse: k.contract.Running()})
 		return
 	}
+	if k.leaving && w.Now().Sub(k.LeftAt) > leaveBound {
+		w.breaks("%s started work %s after it left", k.Name, w.Now().Sub(k.LeftAt))
+	}
 	w.Starts = append(w.Starts, Start{
 		At: w.Now(), Worker: k.Name, Attempt: call.Attempt, Entry: e.RunName(), Request: r.ID,
 		Service: r.Service, Customer: r.Customer, Key: r.Key, Once: call.Once, Epoch: r.Endpoint.Epoch, Pool: r.Endpoint.Pool,
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -197,6 +197,7 @@
 // Change is an apply of an operator.
 type Change struct {
 	ID       string
+	Declares bool // it replaces the declarations
 	Expected uint64
 	Entry    string
 	SentAt   time.Time
@@ -207,7 +208,10 @@
 
 // Apply lets an operator replace the declarations at an entry instance.
 func (w *World) Apply(e *Entry, d keeper.Declarations, revision uint64, id string) *Change {
-	c := &Change{ID: id, Expected: revision, Entry: e.Name, SentAt: w.Now()}
+	c := &Change{ID: id, Declares: true, Expected: revision, Entry: e.Name, SentAt: w.Now()}
+	if !e.Alive() {
+		return c // nobody takes it
+	}
 	w.Changes = append(w.Changes, c)
 	e.propose(keeper.Command{Kind: keeper.Apply, Proposer: "operator", ChangeID: id, Revision: revision, Declarations: d}, c)
 	return c
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -44,6 +45,7 @@
 	Token     string                   // by which endpoints know an entry instance
 	Done      func(messenger.Exchange) // takes the result of an attempt
 	Revoked   func(messenger.Revoked)  // takes an endpoint's word on an attempt
+	AnyLength bool                     // for proofs: an answer that was cut short counts as whole
 }
 
 // Forwarder carries attempts on goroutines of its own.
@@ -128,7 +130,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent = true }, // from here on bytes may go out
 	})
-	response, err := f.cfg.Client.Do(f.request(ctx, r))
+	response, err := f.send(ctx, r)
 	if err != nil {
 		x.Kind = failure(ctx, err, sent)
 		x.Took = f.cfg.Clock().Sub(began)
@@ -151,7 +153,15 @@
 	return messenger.Cut
 }
 
-func (f *Forwarder) request(ctx context.Context, r messenger.Request) *http.Request {
+func (f *Forwarder) send(ctx context.Context, r messenger.Request) (*http.Response, error) {
+	request, err := f.request(ctx, r)
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	return f.cfg.Client.Do(request)
+}
+
+func (f *Forwarder) request(ctx context.Context, r messenger.Request) (*http.Request, error) {
 	h := make(http.Header, len(r.Header)+10)
 	for _, field := range r.Header {
 		h[field.Name] = append(h[field.Name], field.Value)
@@ -171,14 +181,14 @@
 		h[HeaderOnce] = []string{"1"}
 	}
 	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Endpoint.Address+r.Path, bytes.NewReader(r.Body))
-	if err != nil { // a path that no URL can hold; the endpoint would refuse it
-		request, _ = http.NewRequestWithContext(ctx, r.Method, "http://"+r.Endpoint.Address+"/", bytes.NewReader(r.Body))
+	if err != nil { // an address or a path that no URL can hold
+		return nil, err
 	}
 	request.Header = h
 	if !r.Idempotent {
 		request.GetBody = nil // net/http must not send it again by itself
 	}
-	return request
+	return request, nil
 }
 
 func (f *Forwarder) read(ctx context.Context, x messenger.Exchange, response *http.Response) messenger.Exchange {
@@ -195,6 +205,9 @@
 		return x
 	}
 	body, err := readWhole(response, f.cfg.MaxAnswer)
+	if f.cfg.AnyLength {
+		err = nil
+	}
 	switch {
 	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		x.Kind = messenger.Late
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -12,7 +12,7 @@
 func (s State) Apply(now time.Time, c Command) (State, Result) {
 	now = later(now, s.now)
 	s.now = now
-	if c.ChangeID == "" {
+	if c.ChangeID == "" || s.forgetful {
 		return s.apply(now, c)
 	}
 	s = s.forgetChanges(now)
@@ -70,7 +70,7 @@
 }
 
 func (s State) applyDeclarations(now time.Time, c Command) (State, Result) {
-	if c.Revision != s.revision {
+	if c.Revision != s.revision && !s.anyRevision {
 		return s, s.refuse(Conflict, fmt.Sprintf("expected revision %d, the present one is %d", c.Revision, s.revision))
 	}
 	err := s.Validate(c.Declarations)
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -25,6 +25,8 @@
 	changes      *immutable.SortedMap[string, Remembered]
 	wave         Wave
 	unbounded    bool          // for proofs: budgets forbid nothing
+	anyRevision  bool          // for proofs: no change conflicts with another
+	forgetful    bool          // for proofs: outcomes of changes are not kept
 	maintained   time.Duration // running mean of the time an instance is down for its maintenance
 }
 
@@ -42,6 +44,18 @@
 	}
 }
 
+// WithoutRevisions returns the state with its mechanism off: whoever comes last wins.
+func (s State) WithoutRevisions() State {
+	s.anyRevision = true
+	return s
+}
+
+// WithoutMemory returns the state with its mechanism off: a change that is sent again is another.
+func (s State) WithoutMemory() State {
+	s.forgetful = true
+	return s
+}
+
 // WithoutBudgets returns the state with its mechanism off, to show that it is needed.
 func (s State) WithoutBudgets() State {
 	s.unbounded = true
