Wrong clocks among the faults; the search for an order always ends

A machine's clock may be 26 h off after a restart: TestChaos now jumps clocks, and three rows of TestFaults do it directly. Change: the register bounds the time at which a claim is looked into to 10 min after it was made, by the log's clock. Asking an endpoint early does no harm.

All sends of a change are now one operation, from the first send to the first answer, and a change that nobody heard of is left out unless it alone can have made a revision.

--- a/claimer/register.go
+++ b/claimer/register.go
@@ -21,6 +21,10 @@
 	MaxTombstones = 1 << 20
 	// KeySkew is how far the clock of a caller may be ahead.
 	KeySkew = 5 * time.Minute
+	// AskAfter is when a claim is looked into at the latest. Its deadline is by the
+	// clock of its entry instance, which may be wrong; asking an endpoint that
+	// still runs it does no harm.
+	AskAfter = 10 * time.Minute
 
 	expirePerCommand = 4
 )
@@ -218,12 +222,19 @@
 		AttemptID: c.AttemptID,
 		Endpoint:  c.Endpoint,
 		At:        at,
-		Deadline:  c.Deadline,
+		Deadline:  earlier(c.Deadline, g.now.Add(AskAfter)),
 	}
 	g = g.withClaim(claim)
 	return g, Result{Code: Granted, Attempt: claim.Attempt}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (g Register) settle(c Command, known Claim, ok bool) (Register, Result) {
 	open := known.State == InProgress || known.State == Unknown
 	if !ok || known.AttemptID != c.AttemptID || !open {
--- a/experimenter/caller.go
+++ b/experimenter/caller.go
@@ -32,7 +32,7 @@
 		Urgency:    job.Urgency,
 		Idempotent: job.Idempotent,
 	}
-	r = r.WithTimes(w.Now(), w.Now().Add(job.Wait))
+	r = r.WithTimes(e.now(), e.now().Add(job.Wait))
 	e.step(e.run, messenger.Answerer, messenger.Open{ID: id})
 	e.step(e.run, messenger.Admitter, messenger.Arrive{Request: r})
 	return c
--- a/experimenter/entry.go
+++ b/experimenter/entry.go
@@ -34,7 +34,8 @@
 	calls        map[uint64]*Call
 	jobs         map[uint64]Job
 	changes      map[uint64]*Change
-	revision     uint64 // the highest that it ever showed
+	revision     uint64        // the highest that it ever showed
+	skew         time.Duration // of its machine's clock
 }
 
 const (
@@ -70,6 +71,10 @@
 // RunName names this run of the instance.
 func (e *Entry) RunName() string { return fmt.Sprintf("%s-run%d", e.Name, e.run) }
 
+// now is the time by the instance's own clock. It never jumps during a run: a
+// daemon counts from its start.
+func (e *Entry) now() time.Time { return e.world.Now().Add(e.skew) }
+
 // Alive tells whether the instance runs.
 func (e *Entry) Alive() bool { return e.alive && !e.frozen }
 
@@ -107,12 +112,12 @@
 	}
 	e.world.cfg.Change(&cfg)
 	e.nextTicket = ticket + 1<<39
-	e.node = assembler.NewNode(e.world.Now(), cfg, e.declarations, e.claims)
+	e.node = assembler.NewNode(e.now(), cfg, e.declarations, e.claims)
 }
 
 func (e *Entry) tick() {
 	if e.Alive() {
-		e.route(e.node.Tick(e.world.Now()))
+		e.route(e.node.Tick(e.now()))
 	}
 }
 
@@ -125,7 +130,7 @@
 		e.world.After(thawCheck, func() { e.step(run, to, body) })
 		return
 	}
-	e.route(e.node.Step(e.world.Now(), messenger.Message{To: to, Body: body}))
+	e.route(e.node.Step(e.now(), messenger.Message{To: to, Body: body}))
 }
 
 // route takes what the node has for its edges.
@@ -273,6 +278,15 @@
 	}
 }
 
+// JumpClock sets the clock of a killed instance's machine wrong.
+func (e *Entry) JumpClock(by time.Duration) {
+	if e.alive {
+		return
+	}
+	e.world.fault("clock jumped")
+	e.skew = by
+}
+
 // LoseDisk gives a killed voter an empty disk with a new identity.
 func (e *Entry) LoseDisk() {
 	if e.alive || !e.Voter {
--- a/experimenter/history_test.go
+++ b/experimenter/history_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
 	"testing"
 	"time"
@@ -19,98 +18,78 @@
 // checkTime bounds the search for an order; a search that takes longer fails.
 const checkTime = 30 * time.Second
 
-// apply and declared are a change of the declarations and what an operator was told.
-type apply struct {
-	id       string
-	expected uint64
-	repeated bool // it was sent more than once
-}
+// change is a change of the declarations, however often it was sent, and told
+// what its operator got.
+type change struct{ expected uint64 }
 
-type declared struct {
+type outcome struct {
 	known  bool
 	result keeper.Result
 }
 
-// document is what one copy of the declarations would hold.
-type document struct {
-	revision uint64
-	results  map[string]keeper.Result
-}
-
-// with keeps the outcome only where it can matter, so that the search stays small.
-func (d document) with(in apply, r keeper.Result) document {
-	d.revision = max(d.revision, r.Revision)
-	if !in.repeated {
-		return d
-	}
-	d.results = maps.Clone(d.results)
-	d.results[in.id] = r
-	return d
-}
-
-// applyTo returns what a change could make of a copy, given what was told of it.
-func applyTo(d document, in apply, out declared) []any {
-	first, again := d.results[in.id]
+// revise returns what a change could make of a copy at a revision, given what was told of it.
+func revise(revision uint64, in change, out outcome) []any {
+	fits := in.expected == revision
 	switch {
-	case again && out.known && first != out.result:
-		return nil
-	case again:
-		return []any{d}
 	case out.known && out.result.Code == keeper.Accepted:
-		if in.expected != d.revision || out.result.Revision != d.revision+1 {
+		if !fits || out.result.Revision != revision+1 {
 			return nil
 		}
-		return []any{d.with(in, out.result)}
+		return []any{revision + 1}
 	case out.known && out.result.Code == keeper.Conflict:
-		if in.expected == d.revision || out.result.Revision != d.revision {
+		if fits || out.result.Revision != revision {
 			return nil
 		}
-		return []any{d.with(in, out.result)}
+		return []any{revision}
 	case out.known:
-		return []any{d.with(in, out.result)}
-	}
-	next := []any{d} // it never came, or it was refused and nobody was told
-	if in.expected == d.revision {
-		next = append(next, d.with(in, keeper.Result{Code: keeper.Accepted, Revision: d.revision + 1}))
+		return []any{revision}
+	case fits:
+		return []any{revision, revision + 1} // it never came, or it was accepted and nobody was told
 	}
-	return next
+	return []any{revision}
 }
 
 func documents() porcupine.Model {
 	model := porcupine.NondeterministicModel{
-		Init: func() []any { return []any{document{results: map[string]keeper.Result{}}} },
-		Step: func(state, in, out any) []any { return applyTo(state.(document), in.(apply), out.(declared)) },
-		Equal: func(a, b any) bool {
-			x, y := a.(document), b.(document)
-			return x.revision == y.revision && maps.Equal(x.results, y.results)
-		},
-		Hash: func(state any) uint64 { return state.(document).revision },
+		Init: func() []any { return []any{uint64(0)} },
+		Step: func(state, in, out any) []any { return revise(state.(uint64), in.(change), out.(outcome)) },
 	}
 	return model.ToModel()
 }
 
-func (w *World) changeHistory() []porcupine.Operation {
-	times := make(map[string]int)
-	for _, c := range w.Changes {
-		times[c.ID]++
-	}
-	var out []porcupine.Operation
+// checkChangeHistory searches for an order of the changes. All sends of one
+// change are one operation: from the first send to the first answer. It leaves
+// out a change of which nobody was told anything and that did not make a
+// revision alone; such a one fits anywhere.
+func (w *World) checkChangeHistory() (int, porcupine.CheckResult) {
+	changes := make(map[string]porcupine.Operation)
+	made := make(map[uint64]bool)
 	for _, c := range w.Changes {
 		if !c.Declares {
 			continue
 		}
-		op := porcupine.Operation{
-			Input:  apply{id: c.ID, expected: c.Expected, repeated: times[c.ID] > 1},
-			Output: declared{known: c.Done, result: c.Result},
-			Call:   c.SentAt.UnixNano(),
-			Return: math.MaxInt64, // it may come to hold at any later time
+		op, again := changes[c.ID]
+		if !again {
+			op = porcupine.Operation{Input: change{expected: c.Expected}, Output: outcome{}, Call: c.SentAt.UnixNano(), Return: math.MaxInt64}
 		}
 		if c.Done {
-			op.Return = c.DoneAt.UnixNano()
+			first := op.Output.(outcome)
+			if first.known && first.result != c.Result {
+				return len(w.Changes), porcupine.Illegal
+			}
+			op.Output = outcome{known: true, result: c.Result}
+			op.Return = min(op.Return, c.DoneAt.UnixNano())
+			made[c.Result.Revision] = made[c.Result.Revision] || c.Result.Code == keeper.Accepted
 		}
-		out = append(out, op)
+		changes[c.ID] = op
 	}
-	return out
+	var history []porcupine.Operation
+	for _, op := range changes {
+		if op.Output.(outcome).known || !made[op.Input.(change).expected+1] {
+			history = append(history, op)
+		}
+	}
+	return len(changes), porcupine.CheckOperationsTimeout(documents(), history, checkTime)
 }
 
 // keyed and told are a request with a key and what its caller got.
@@ -278,9 +257,9 @@
 				tc.act(w)
 				w.Heal()
 				w.RunFor(20 * time.Second)
-				changes := porcupine.CheckOperationsTimeout(documents(), w.changeHistory(), checkTime)
+				n, changes := w.checkChangeHistory()
 				keys := porcupine.CheckOperationsTimeout(registers(), w.keyHistory(), checkTime)
-				t.Logf("seed %d: %d changes %s, %d keyed requests %s", seed+900, len(w.changeHistory()), changes, len(w.keyHistory()), keys)
+				t.Logf("seed %d: %d changes %s, %d keyed requests %s", seed+900, n, changes, len(w.keyHistory()), keys)
 				if tc.want == porcupine.Ok {
 					must.Eq(t, porcupine.Ok, changes)
 					must.Eq(t, porcupine.Ok, keys)
--- a/experimenter/worker.go
+++ b/experimenter/worker.go
@@ -177,7 +177,7 @@
 		return
 	}
 	w.After(w.delay(e.Zone, k.Zone), func() { k.begin(e, r, job, done) })
-	w.After(r.Deadline.Sub(began), func() { done(messenger.Exchange{Kind: messenger.Late, InUse: -1}) })
+	w.After(r.Deadline.Sub(e.now()), func() { done(messenger.Exchange{Kind: messenger.Late, InUse: -1}) })
 }
 
 func (w *World) worker(name string) *Worker {
--- a/experimenter/world_test.go
+++ b/experimenter/world_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumwind/assembler"
+	"laburnumwind/claimer"
 	"laburnumwind/keeper"
 	"laburnumwind/messenger"
 )
@@ -149,6 +150,40 @@
 			},
 			want: func(t *testing.T, w *World) { must.Eq(t, 20, w.answered(messenger.Answered)) },
 		},
+		"a clock a day ahead in all instances after an answer": {
+			act: func(w *World) { repeatAfterJump(w, clockJump) },
+			want: func(t *testing.T, w *World) {
+				must.Eq(t, 1, w.answered(messenger.Answered))
+				must.Eq(t, messenger.Refused, w.Calls[1].Answer.Outcome) // the key is too old now
+			},
+		},
+		"a clock a day behind in all instances after an answer": {
+			act: func(w *World) { repeatAfterJump(w, -clockJump) },
+			want: func(t *testing.T, w *World) {
+				must.Eq(t, 2, w.answered(messenger.Answered))
+				must.True(t, w.Calls[1].Answer.Replayed)
+			},
+		},
+		"an entry instance with its clock a day ahead dies between claim and answer": {
+			act: func(w *World) {
+				e := w.Entry("a2")
+				e.Crash()
+				e.JumpClock(clockJump)
+				e.Restart()
+				w.RunFor(5 * time.Second)
+				job := Job{Service: "build", Customer: "school", Key: "k", Body: "b", Run: 300 * time.Millisecond}
+				w.Submit(e, job)
+				w.RunFor(30 * time.Millisecond)
+				e.Crash()
+				w.RunFor(claimer.AskAfter + 10*time.Second) // the sweep asks the endpoint
+				w.Submit(w.Entry("b1"), job)
+				w.RunFor(5 * time.Second)
+			},
+			want: func(t *testing.T, w *World) {
+				must.Eq(t, 1, w.answered(messenger.Answered))
+				must.Len(t, 1, w.Starts)
+			},
+		},
 		"a cut-off zone": {
 			act: func(w *World) {
 				w.CutZone("a", true)
@@ -308,11 +343,29 @@
 	}
 }
 
+// clockJump is the most by which a machine's clock is wrong, longer than keys are kept.
+const clockJump = 26 * time.Hour
+
+// repeatAfterJump sends a key again after a restart of all with wrong clocks.
+func repeatAfterJump(w *World, by time.Duration) {
+	job := Job{Service: "build", Customer: "school", Key: "k", Body: "b", Run: 100 * time.Millisecond}
+	w.Submit(w.Entry("a1"), job)
+	w.RunFor(time.Second)
+	for _, e := range w.entries {
+		e.Crash()
+		e.JumpClock(by)
+		e.Restart()
+	}
+	w.RunFor(5 * time.Second)
+	w.Submit(w.Entry("b1"), job)
+	w.RunFor(5 * time.Second)
+}
+
 // chaos lets faults of all kinds come at any moment, together or twice.
 func chaos(w *World, steps int) {
 	w.WithLoss(0.01)
 	revision := uint64(1)
-	for n := range steps {
+	for range steps {
 		e := w.anyEntry()
 		k := w.workers[w.random.IntN(len(w.workers))]
 		switch w.random.IntN(24) {
@@ -334,10 +387,10 @@
 			k.Fail = !k.Fail
 			w.fault("worker fails")
 		case 8:
-			w.Apply(e, declarations(2+w.random.IntN(2)), revision, fmt.Sprintf("change %d", n))
+			w.Apply(e, declarations(2+w.random.IntN(2)), revision, fmt.Sprintf("change %d", len(w.Changes)))
 			revision = max(revision, e.view.State.Revision())
 		case 9:
-			w.Propose(e, keeper.Command{Kind: keeper.StartWave, Proposer: "operator", ChangeID: fmt.Sprintf("wave %d", n), MaxFailed: 2})
+			w.Propose(e, keeper.Command{Kind: keeper.StartWave, Proposer: "operator", ChangeID: fmt.Sprintf("wave %d", len(w.Changes)), MaxFailed: 2})
 		case 10, 11:
 			clear(w.cuts)
 			e.Isolate(false)
@@ -348,6 +401,9 @@
 			k.Restart()
 		case 15:
 			w.loseDisk()
+		case 16:
+			e.Crash()
+			e.JumpClock(w.upTo(2*clockJump) - clockJump)
 		}
 		w.callSome(4)
 		w.RunFor(w.upTo(800 * time.Millisecond))
@@ -383,7 +439,7 @@
 	t.Logf("seeds 500 to %d, %d requests, %d starts, faults injected: %v", 499+*seeds, calls, starts, faults)
 	for _, kind := range []string{
 		"entry killed", "entry frozen", "entry isolated", "zone cut", "worker killed", "worker leaves",
-		"worker fails", "disk lost", "caller gone", "message lost", "message doubled", "message late",
+		"worker fails", "disk lost", "clock jumped", "caller gone", "message lost", "message doubled", "message late",
 	} {
 		must.Greater(t, 0, faults[kind], must.Sprintf("no %s was injected", kind))
 	}
