--- a/assembler/node.go
+++ b/assembler/node.go
@@ -179,6 +179,9 @@
 	if cfg.Claims.Apply == nil {
 		cfg.Claims.Apply = claimer.Register.Apply
 	}
+	if cfg.Claims.Weight == nil {
+		cfg.Claims.Weight = func(g claimer.Register) uint64 { return uint64(g.Len()) }
+	}
 	viewedAt := uint64(0)
 	leads := false
 	g := &group[claimer.Command, claimer.Register, claimer.Result]{
--- a/cmd/laburnumlab/main.go
+++ b/cmd/laburnumlab/main.go
@@ -14,13 +14,15 @@
 )
 
 type commands struct {
-	All      allCommand      `cmd:"" help:"All tables on fake time, each beside its baselines in the same run."`
-	Flood    floodCommand    `cmd:"" help:"Service that other work keeps in a flood."`
-	Rotation rotationCommand `cmd:"" help:"Goodput under rotating demand."`
-	Overhead overheadCommand `cmd:"" help:"What an entry instance adds to a direct call, beside a bare hop. Run it in the project's folder."`
-	Capacity capacityCommand `cmd:"" help:"What state and control cost as the fleet grows."`
-	Plot     plotCommand     `cmd:"" help:"Draw a flood and a roll-out as SVG files."`
-	Rollout  rolloutCommand  `cmd:"" help:"Time of a maintenance of the whole fleet, and the reserve."`
+	All        allCommand        `cmd:"" help:"All tables on fake time, each beside its baselines in the same run."`
+	Flood      floodCommand      `cmd:"" help:"Service that other work keeps in a flood."`
+	Rotation   rotationCommand   `cmd:"" help:"Goodput under rotating demand."`
+	Overhead   overheadCommand   `cmd:"" help:"What an entry instance adds to a direct call, beside a bare hop."`
+	Saturation saturationCommand `cmd:"" help:"Answers a second through a bare hop, an entry instance, and with a claim."`
+	Recovery   recoveryCommand   `cmd:"" help:"What a voter needs after a restart to read and apply its log."`
+	Capacity   capacityCommand   `cmd:"" help:"What state and control cost as the fleet grows."`
+	Plot       plotCommand       `cmd:"" help:"Draw a flood and a roll-out as SVG files."`
+	Rollout    rolloutCommand    `cmd:"" help:"Time of a maintenance of the whole fleet, and the reserve."`
 }
 
 func main() {
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	ringSize      = 2048
-	patientSize   = 256
-	mostInBatch   = 64
-	sendTimeout   = 2 * time.Second
-	sendersOfPeer = 2                      // so that one slow answer does not hold up the next batch
-	patience      = 20 * time.Millisecond  // how long a patient message waits for company
-	retryPause    = 250 * time.Millisecond // after a failed exchange, before the next try
+	ringSize    = 2048
+	patientSize = 256
+	mostInBatch = 64
+	sendTimeout = 2 * time.Second
+
+	patience   = 20 * time.Millisecond  // how long a patient message waits for company
+	retryPause = 250 * time.Millisecond // after a failed exchange, before the next try
 )
 
 // Peer is another entry instance.
@@ -87,9 +87,7 @@
 			patient: buffer.NewRing[*encoder.Envelope](patientSize),
 		}
 		c.lanes[p.Name] = l
-		for range sendersOfPeer {
-			c.done.Go(func() { c.run(ctx, l, l.urgent, 0) })
-		}
+		c.done.Go(func() { c.run(ctx, l, l.urgent, 0) }) // one, so that messages stay in order
 		c.done.Go(func() { c.run(ctx, l, l.patient, patience) })
 	}
 	return c
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -10,12 +10,13 @@
 	Passive      bool   // the node neither votes nor follows: it only proposes
 	Peers        []Peer // the other nodes
 	Heartbeat    time.Duration
-	Election     time.Duration // shortest time without a leader before an election
-	Drift        time.Duration // how much two clocks may differ in one Election
-	Fresh        time.Duration // how long a follower counts its copy as fresh
-	CompactAfter uint64        // entries behind a snapshot before the next
-	KeepEntries  uint64        // entries kept before a snapshot, for followers that lag a little
-	MaxBatch     int           // entries in one message
+	Election     time.Duration  // shortest time without a leader before an election
+	Drift        time.Duration  // how much two clocks may differ in one Election
+	Fresh        time.Duration  // how long a follower counts its copy as fresh
+	CompactAfter uint64         // least number of entries behind a snapshot before the next
+	Weight       func(S) uint64 // entries that are as much work as a snapshot of the machine, for the next one; nil: few
+	KeepEntries  uint64         // entries kept before a snapshot, for followers that lag a little
+	MaxBatch     int            // entries in one message
 	Seed         uint64
 	Apply        func(s S, now time.Time, c C) (S, R)
 
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -20,13 +20,18 @@
 	}
 }
 
-// push sends new entries and the new commit index at once.
+// push sends new entries and the new commit index at once, to a node that has
+// answered the last ones. What comes meanwhile goes together: with a message for
+// each entry, a busy leader and its followers would do little else.
 func (r *round[C, S, R]) push() {
-	if !r.pushed || r.state.role != Leader {
+	s := r.state
+	if s.role != Leader {
 		return
 	}
-	for _, p := range r.state.peers {
-		if r.hears(p.name) {
+	for _, p := range s.peers {
+		lacks := p.next <= s.lastIndex() || p.commit < s.commit
+		awaited := p.beatAt.After(p.ackedAt) && r.now.Sub(p.beatAt) < s.cfg.Heartbeat/2 // or it was lost
+		if lacks && !awaited && r.hears(p.name) {
 			r.sendAppend(p.name, false)
 		}
 	}
@@ -150,14 +155,13 @@
 		p.match = max(p.match, m.Index)
 		p.next = max(p.next, p.match+1)
 		*s = s.withPeer(p)
-		if p.next <= s.lastIndex() {
-			r.sendAppend(p.name, false)
-		}
 		return
 	}
-	p.next = min(p.next, max(m.Index, p.match)+1)
+	if !m.Echo.Before(p.resetAt) { // else it answers what was sent before the last step back
+		p.next = min(p.next, max(m.Index, p.match)+1)
+		p.resetAt = r.now
+	}
 	*s = s.withPeer(p)
-	r.sendAppend(p.name, false)
 }
 
 func (r *round[C, S, R]) takeSnapshot(m Message[C, S, R]) {
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -48,6 +48,7 @@
 	leaders map[uint64]string
 	next    uint64
 	faults  map[string]int
+	sent    int // messages
 	errs    []string
 }
 
@@ -196,6 +197,7 @@
 }
 
 func (s *sim) deliver(m simMessage) {
+	s.sent++
 	if s.cut[[2]string{m.From, m.To}] {
 		s.faults["messages cut"]++
 		return
--- a/replicator/state.go
+++ b/replicator/state.go
@@ -29,6 +29,7 @@
 	ackedAt time.Time // the leader's time of the last message that the node answered
 	sentAt  time.Time // the node's time in its last answer
 	beatAt  time.Time // when the leader last sent to it
+	resetAt time.Time // when the leader last stepped back to what the node has
 }
 
 // State is the immutable value of a node in its group.
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -22,13 +22,12 @@
 
 // round gathers the effects of one step.
 type round[C, S, R any] struct {
-	state  State[C, S, R]
-	now    time.Time
-	out    Effects[C, S, R]
-	dirty  bool   // term or vote changed
-	from   uint64 // first entry to write
-	snap   bool   // the snapshot changed
-	pushed bool   // something for the followers
+	state State[C, S, R]
+	now   time.Time
+	out   Effects[C, S, R]
+	dirty bool   // term or vote changed
+	from  uint64 // first entry to write
+	snap  bool   // the snapshot changed
 }
 
 // Tick lets a node act on the time: heartbeats, elections, repairs.
@@ -254,7 +253,6 @@
 	e.At = r.now
 	*s = s.withEntry(e)
 	r.wrote(e.Index)
-	r.pushed = true
 }
 
 func (r *round[C, S, R]) wrote(index uint64) {
@@ -288,7 +286,6 @@
 	term, ok := s.termAt(index)
 	if index > s.commit && ok && term == s.term {
 		s.commit = index
-		r.pushed = true
 	}
 }
 
@@ -322,7 +319,7 @@
 // compact takes a snapshot once enough entries lie behind the last.
 func (r *round[C, S, R]) compact() {
 	s := &r.state
-	if s.applied-s.snapshot.Index < s.cfg.CompactAfter {
+	if s.applied-s.snapshot.Index < s.compactAfter() {
 		return
 	}
 	term, _ := s.termAt(s.applied)
@@ -338,6 +335,14 @@
 	r.snap = true
 }
 
+// compactAfter grows with the machine, so that snapshots cost each entry the same.
+func (s State[C, S, R]) compactAfter() uint64 {
+	if s.cfg.Weight == nil {
+		return s.cfg.CompactAfter
+	}
+	return max(s.cfg.CompactAfter, s.cfg.Weight(s.machine))
+}
+
 func (s State[C, S, R]) membersAt(index uint64) []Member {
 	var members []Member
 	for _, c := range s.configs {
--- a/cmd/laburnumlab/capacity.go
+++ b/surveyor/capacity.go
@@ -1,4 +1,4 @@
-package main
+package surveyor
 
 import (
 	"fmt"
@@ -16,10 +16,6 @@
 	"laburnumwind/tracker"
 )
 
-type capacityCommand struct {
-	Sizes []int `default:"49,500,1500,4100" help:"Numbers of workers."`
-}
-
 // Shape of the fleet at full size.
 const (
 	fullPools     = 29
@@ -28,54 +24,55 @@
 	repeats       = 20
 )
 
-// Run runs the command: what state and control cost as the fleet grows.
-func (c capacityCommand) Run() error {
-	fmt.Println("| workers | heap of the declarations | snapshot | one register applied | tracker: one announcement | tracker: one tick | planner: one look | planner in a wave | gossip: one report |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	for _, n := range c.Sizes {
-		err := capacityRow(n)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+// Capacity is what state and control cost at a size of the fleet.
+type Capacity struct {
+	Workers  int
+	Heap     uint64        // of the declarations, in bytes
+	Snapshot int           // of the declarations, in bytes
+	Register time.Duration // one command applied
+	Announce time.Duration // one announcement at the tracker
+	Look     time.Duration // one look of the tracker
+	Plan     time.Duration // one look of the planner
+	Wave     time.Duration // the same in a wave
+	Report   int           // of one endpoint between entry instances, in bytes
 }
 
-func capacityRow(n int) error {
+// MeasureCapacity measures a fleet of n workers with the pools and customers of full size.
+func MeasureCapacity(n int) Capacity {
 	now := time.Unix(1_800_000_000, 0)
+	c := Capacity{Workers: n}
 	before := heap()
 	state := fleetOf(now, n)
-	stateBytes := heap() - before
-	message := encoder.DeclarationsCodec().FromMessage(assembler.DeclarationsMessage{
+	c.Heap = heap() - before
+	c.Snapshot = proto.Size(encoder.DeclarationsCodec().FromMessage(assembler.DeclarationsMessage{
 		Kind:     replicator.Install,
 		Snapshot: &replicator.Snapshot[keeper.State]{Machine: state},
-	})
-	snapshot := proto.Size(message)
-	register := perCall(func(i int) {
+	}))
+	c.Register = perCall(func(i int) {
 		state.Apply(now, keeper.Command{Kind: keeper.Register, Instance: keeper.Instance{Name: "fresh", Incarnation: uint64(i + 1)}})
 	})
-
 	heard := announcements(state)
+	c.Announce, c.Look = measureTracker(now, state, heard)
+	c.Plan = plannerLook(now, state, heard)
+	wave, _ := state.Apply(now, keeper.Command{Kind: keeper.StartWave, MaxFailed: 1})
+	c.Wave = plannerLook(now, wave, heard)
+	c.Report = proto.Size(encoder.FromGossip(messenger.Gossip{From: "a1", Reports: []messenger.Report{{Announcement: heard[0], Age: time.Second}}}))
+	return c
+}
+
+func measureTracker(now time.Time, state keeper.State, heard []messenger.Announcement) (announce, look time.Duration) {
 	tracked := tracker.NewState(tracker.Config{Name: "a1"})
 	tracked, _ = tracked.Step(now, messenger.View{State: state})
 	for _, a := range heard {
 		tracked, _ = tracked.Step(now, messenger.Gossip{From: "b1", Reports: []messenger.Report{{Announcement: a}}})
 	}
-	announce := perCall(func(i int) { tracked, _ = tracked.Step(now, heard[i%len(heard)]) })
+	announce = perCall(func(i int) { tracked, _ = tracked.Step(now, heard[i%len(heard)]) })
 	at := now
-	tick := perCall(func(int) {
-		at = at.Add(time.Second + time.Duration(n)*time.Millisecond)
+	look = perCall(func(int) {
+		at = at.Add(time.Second + time.Duration(len(heard))*time.Millisecond)
 		tracked, _ = tracked.Step(at, messenger.Tick{})
 	})
-
-	look := plannerLook(now, state, heard)
-	wave, _ := state.Apply(now, keeper.Command{Kind: keeper.StartWave, MaxFailed: 1})
-	inWave := plannerLook(now, wave, heard)
-	report := proto.Size(encoder.FromGossip(messenger.Gossip{From: "a1", Reports: []messenger.Report{{Announcement: heard[0], Age: time.Second}}}))
-	fmt.Printf("| %d | %d kB | %d kB | %s | %s | %s | %s | %s | %d B |\n", n, stateBytes>>10, snapshot>>10,
-		register.Round(time.Microsecond), announce.Round(100*time.Nanosecond), tick.Round(time.Microsecond),
-		look.Round(time.Microsecond), inWave.Round(time.Microsecond), report)
-	return nil
+	return announce, look
 }
 
 func perCall(call func(i int)) time.Duration {
--- /dev/null
+++ b/surveyor/recovery.go
@@ -0,0 +1,150 @@
+package surveyor
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"laburnumwind/assembler"
+	"laburnumwind/claimer"
+	"laburnumwind/encoder"
+	"laburnumwind/messenger"
+	"laburnumwind/recorder"
+	"laburnumwind/replicator"
+)
+
+// Recovery is what a voter needs after a restart until it leads and has applied all.
+type Recovery struct {
+	Entries int
+	Bytes   int64         // on disk
+	Open    time.Duration // to read the files
+	Apply   time.Duration // from there until all entries are applied, without the wait for an election
+}
+
+const (
+	recoveryBatch = 64
+	voterName     = "v0"
+	claimsGroup   = "claims"
+)
+
+type claimsStore = recorder.Store[claimer.Command, claimer.Register, claimer.Result]
+
+// MeasureRecovery writes claims and their settlements to a log on disk, as a
+// voter does, and starts the voter again.
+func MeasureRecovery(entries int) (Recovery, error) {
+	r := Recovery{Entries: entries}
+	folder, err := os.MkdirTemp("", "laburnumlab-")
+	if err != nil {
+		return r, fmt.Errorf("make temporary folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }() // one that stays behind does no harm
+	now := time.Unix(1_800_000_000, 0)
+	err = fill(now, folder, entries)
+	if err != nil {
+		return r, fmt.Errorf("write log: %w", err)
+	}
+	files, err := filepath.Glob(filepath.Join(folder, "*"))
+	if err != nil {
+		return r, fmt.Errorf("list files: %w", err)
+	}
+	for _, f := range files {
+		info, err := os.Stat(f)
+		if err != nil {
+			return r, fmt.Errorf("look at file: %w", err)
+		}
+		r.Bytes += info.Size()
+	}
+	began := time.Now()
+	store, disk, err := openClaims(folder)
+	if err != nil {
+		return r, err
+	}
+	defer func() { _ = store.Close() }() // nothing was written since the last sync
+	r.Open = time.Since(began)
+	began = time.Now()
+	node, err := lead(now.Add(time.Hour), store, disk)
+	r.Apply = time.Since(began)
+	if err == nil && node.Applied() < uint64(entries) {
+		err = fmt.Errorf("applied %d of %d: %w", node.Applied(), entries, recorder.ErrCorrupt)
+	}
+	return r, err
+}
+
+func openClaims(folder string) (*claimsStore, assembler.ClaimsDisk, error) {
+	members := []replicator.Member{{Name: voterName, Disk: recorder.FirstDisk(voterName)}}
+	first := replicator.Bootstrap[claimer.Command](members, claimer.NewRegister())
+	store, disk, err := recorder.OpenStore(folder, claimsGroup, encoder.ClaimsCodec(), first, false)
+	if err != nil {
+		return nil, disk, fmt.Errorf("open log: %w", err)
+	}
+	return store, disk, nil
+}
+
+// lead starts a voter that is alone and lets it lead.
+func lead(now time.Time, store *claimsStore, disk assembler.ClaimsDisk) (assembler.ClaimsState, error) {
+	cfg := assembler.ClaimsConfig{Name: voterName, Disk: recorder.FirstDisk(voterName), Durable: true, Apply: claimer.Register.Apply}
+	node := replicator.NewState(now, cfg, disk)
+	at := node.WakeAt(now)
+	node, effects := node.Tick(at)
+	return persist(at, store, node, effects.Write)
+}
+
+// persist writes what a step asks for and tells the node, until it asks for nothing more.
+func persist(now time.Time, store *claimsStore, node assembler.ClaimsState, w *replicator.Write[claimer.Command, claimer.Register]) (assembler.ClaimsState, error) {
+	for w != nil {
+		err := store.Append(*w)
+		if err == nil {
+			err = store.Sync()
+		}
+		if err != nil {
+			return node, fmt.Errorf("write: %w", err)
+		}
+		if len(w.Entries) == 0 {
+			return node, nil
+		}
+		last := w.Entries[len(w.Entries)-1]
+		var effects replicator.Effects[claimer.Command, claimer.Register, claimer.Result]
+		node, effects = node.Persisted(now, replicator.Persisted{Index: last.Index, Term: last.Term})
+		w = effects.Write
+	}
+	return node, nil
+}
+
+func fill(now time.Time, folder string, entries int) error {
+	store, disk, err := openClaims(folder)
+	if err != nil {
+		return err
+	}
+	node, err := lead(now, store, disk)
+	if err != nil {
+		return err
+	}
+	for n := 0; n < entries; n += recoveryBatch {
+		now = now.Add(time.Millisecond)
+		var proposals []replicator.Proposal[claimer.Command]
+		for k := n; k < min(n+recoveryBatch, entries); k++ {
+			proposals = append(proposals, replicator.Proposal[claimer.Command]{Ticket: uint64(k), Command: claimOf(now, k)})
+		}
+		var effects replicator.Effects[claimer.Command, claimer.Register, claimer.Result]
+		node, effects = node.Propose(now, proposals...)
+		node, err = persist(now, store, node, effects.Write)
+		if err != nil {
+			return err
+		}
+	}
+	return store.Close()
+}
+
+// claimOf is a claim and, after it, its settlement.
+func claimOf(now time.Time, k int) claimer.Command {
+	c := claimer.Command{
+		Kind: claimer.Make, Customer: "school", Key: fmt.Sprintf("key-%d", k/2), Digest: "d", AttemptID: fmt.Sprintf("v0-run-%d", k/2),
+		Endpoint: messenger.Endpoint{Instance: "worker-0001", Address: "10.0.0.1:8000"}, Deadline: now.Add(time.Minute),
+	}
+	if k%2 == 1 {
+		c.Kind = claimer.SettleKey
+		c.Answer = messenger.Answer{Outcome: messenger.Answered, Status: 200, Body: []byte("done")}
+	}
+	return c
+}
