--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -109,15 +109,30 @@
 
 // newTestFleet writes the settings of three voters, one a zone, and one instance without a disk.
 func newTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	return newTestFleetVia(t, func(_, _, address string) string { return address })
+}
+
+// newTestFleetVia is the same with addresses of peers that lead through something.
+func newTestFleetVia(t *testing.T, via func(from, to, address string) string) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, folder: t.TempDir(), starts: make(map[string]int), token: testToken}
 	must.NoError(t, os.WriteFile(filepath.Join(f.folder, "token"), []byte(testToken+"\n"), 0o600))
 	names := []string{"a1", "b1", "c1", "a2"}
-	var peers []string
 	addresses := make(map[string]string)
-	for i, name := range names {
+	for _, name := range names {
 		addresses[name] = freeAddress(t)
-		peers = append(peers, fmt.Sprintf(`{"name": %q, "zone": %q, "address": %q, "voter": %t}`, name, name[:1], addresses[name], i < 3))
+	}
+	peersOf := func(from string) string {
+		var peers []string
+		for i, name := range names {
+			address := addresses[name]
+			if name != from {
+				address = via(from, name, address)
+			}
+			peers = append(peers, fmt.Sprintf(`{"name": %q, "zone": %q, "address": %q, "voter": %t}`, name, name[:1], address, i < 3))
+		}
+		return strings.Join(peers, ", ")
 	}
 	for i, name := range names {
 		data := ""
@@ -131,7 +146,7 @@
   "tokens": {"endpoints": "token", "operators": "token", "peers": "token"},
   "timing": {"leave": "200ms", "lostAfter": "3s"},
   "log": {"level": "warn"},
-}`, name, name[:1], data, freeAddress(t), freeAddress(t), freeAddress(t), addresses[name], strings.Join(peers, ", "))
+}`, name, name[:1], data, freeAddress(t), freeAddress(t), freeAddress(t), addresses[name], peersOf(name))
 		path := filepath.Join(f.folder, name+".jsonc")
 		must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		set, err := loader.Load(path)
