A demand that rises fast is told at once

The flood fills the pool within 30 ms, each of six instances knowing only its own part until the next tick of 100 ms and the gossip. Change: an instance that uses two slots more than it told tells it at once, at most every 20 ms, and such gossip does not wait for company.

--- a/admitter/share_test.go
+++ b/admitter/share_test.go
@@ -145,3 +145,37 @@
 		})
 	}
 }
+
+// TestRiseIsToldAtOnce checks that the others hear of slots that were taken fast
+// before they take the same ones, and not more often than is of use.
+func TestRiseIsToldAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		arrivals []time.Duration // after the last report
+		want     int             // reports
+	}{
+		"one at a time":              {arrivals: []time.Duration{30 * time.Millisecond}},
+		"two within a tick":          {arrivals: []time.Duration{30 * time.Millisecond, 40 * time.Millisecond}, want: 1},
+		"two right after a report":   {arrivals: []time.Duration{time.Millisecond, 2 * time.Millisecond}},
+		"and a third a little later": {arrivals: []time.Duration{time.Millisecond, 2 * time.Millisecond, 30 * time.Millisecond}, want: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _ := newAdmitter(16).Step(start, messenger.Tick{})
+			told := 0
+			for n, after := range tc.arrivals {
+				arrive := request(uint64(n), "x", 3, time.Minute)
+				var out []messenger.Message
+				s, out = s.Step(start.Add(after), arrive)
+				for _, m := range out {
+					d, ok := m.Body.(messenger.LocalDemand)
+					if ok {
+						must.True(t, d.Urgent)
+						must.Eq(t, n+1, d.Demands[0].InUse)
+						told++
+					}
+				}
+			}
+			must.Eq(t, tc.want, told)
+		})
+	}
+}
--- a/admitter/state.go
+++ b/admitter/state.go
@@ -15,6 +15,13 @@
 // tellEvery is how often an unchanged demand is told again.
 const tellEvery = time.Second
 
+// riseEvery is the least time between two reports of a demand that rises, and
+// leastRise how many slots more than told it is.
+const (
+	riseEvery = 20 * time.Millisecond
+	leastRise = 2
+)
+
 // State is the immutable value of an admitter.
 type State struct {
 	cfg      Config
--- a/admitter/turn.go
+++ b/admitter/turn.go
@@ -163,8 +163,7 @@
 	if slices.Equal(demands, t.state.told) && t.now.Sub(t.state.toldAt) < tellEvery {
 		return
 	}
-	t.state.told, t.state.toldAt = demands, t.now
-	t.send(messenger.Tracker, messenger.LocalDemand{Demands: demands})
+	t.tell(demands, false)
 }
 
 // expire refuses what did not start in time.
@@ -309,4 +308,30 @@
 	t.state = t.state.withService(v.withQueue(q).withInUse(p.name, 1)).withPoolUse(p.name, 1)
 	t.state.waiting = t.state.waiting.Delete(r.ID)
 	t.send(messenger.Placer, messenger.Admitted{Request: r})
+	t.tellRise()
+}
+
+// tellRise tells the other instances at once what rose fast, or all of them
+// together would take more than there is before the next tick.
+func (t *turn) tellRise() {
+	if t.now.Sub(t.state.toldAt) < riseEvery {
+		return
+	}
+	told, now := 0, 0
+	for _, d := range t.state.told {
+		told += d.InUse
+	}
+	for _, v := range t.state.all() {
+		for _, u := range v.uses {
+			now += u.inUse
+		}
+	}
+	if now-told >= leastRise {
+		t.tell(t.state.Demands(), true)
+	}
+}
+
+func (t *turn) tell(demands []messenger.Demand, urgent bool) {
+	t.state.told, t.state.toldAt = demands, t.now
+	t.send(messenger.Tracker, messenger.LocalDemand{Demands: demands, Urgent: urgent})
 }
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -23,10 +23,12 @@
 	mostInBatch = 64
 	sendTimeout = 2 * time.Second
 
-	patience   = 20 * time.Millisecond  // how long a patient message waits for company
 	retryPause = 250 * time.Millisecond // after a failed exchange, before the next try
 )
 
+// Patience is how long a message that tells nothing urgent waits for company.
+const Patience = 20 * time.Millisecond
+
 // Peer is another entry instance.
 type Peer struct {
 	Name string
@@ -88,7 +90,7 @@
 		}
 		c.lanes[p.Name] = l
 		c.done.Go(func() { c.run(ctx, l, l.urgent, 0) }) // one, so that messages stay in order
-		c.done.Go(func() { c.run(ctx, l, l.patient, patience) })
+		c.done.Go(func() { c.run(ctx, l, l.patient, Patience) })
 	}
 	return c
 }
@@ -129,8 +131,12 @@
 		c.put(m.To, &encoder.Envelope{Claims: c.encode.claims(m)}, mannerOf(m))
 	case messenger.Gossip:
 		envelope := &encoder.Envelope{Gossip: encoder.FromGossip(m)}
+		how := patient
+		if m.Urgent {
+			how = urgent
+		}
 		for _, p := range c.cfg.Peers {
-			c.put(p.Name, envelope, patient)
+			c.put(p.Name, envelope, how)
 		}
 	}
 }
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -189,7 +189,10 @@
 }
 
 // LocalDemand is the demand at this entry instance, for the others.
-type LocalDemand struct{ Demands []Demand }
+type LocalDemand struct {
+	Demands []Demand
+	Urgent  bool // it rose fast
+}
 
 // Gossip is the soft state that entry instances tell each other.
 type Gossip struct {
@@ -197,6 +200,7 @@
 	Reports []Report
 	Demands []Demand
 	Whole   bool // all that the sender knows, not only changes
+	Urgent  bool // it does not wait for company on its way
 }
 
 // Roster is every endpoint that may get requests.
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -102,7 +102,7 @@
 		t.rebuild()
 	case messenger.LocalDemand:
 		t.state.demands = m.Demands
-		t.tellDemands()
+		t.tellDemands(m.Urgent)
 	case messenger.Tick:
 		t.tick()
 	}
--- a/tracker/turn.go
+++ b/tracker/turn.go
@@ -195,12 +195,12 @@
 }
 
 // tellDemands tells the others the demand; it comes here only when it changed or is due again.
-func (t *turn) tellDemands() {
+func (t *turn) tellDemands(urgent bool) {
 	demands := t.state.demands
 	if demands == nil {
 		demands = []messenger.Demand{}
 	}
-	t.tell(nil, demands, false)
+	t.send(messenger.Courier, messenger.Gossip{From: t.state.cfg.Name, Demands: demands, Urgent: urgent})
 }
 
 func (t *turn) tell(reports []messenger.Report, demands []messenger.Demand, whole bool) {
