--- a/cmd/laburnumlab/main.go
+++ b/cmd/laburnumlab/main.go
@@ -103,29 +103,36 @@
 	return nil
 }
 
+// rolloutMaxFailed is more than a rack, so that the loss of one does not stop the wave.
+const rolloutMaxFailed = 5
+
 type rolloutCommand struct {
 	Seeds   uint64 `default:"1" help:"Number of seeds."`
 	MaxDown int    `default:"3" help:"Instances of a pool that may be down at once."`
 	Quick   bool   `help:"Without the baseline."`
+	Fault   string `default:"none" enum:"none,rack lost,zone cut,leader lost" help:"What happens from 60 to 120 s: none, rack lost, zone cut or leader lost."`
 }
 
 // Run runs the command.
 func (c rolloutCommand) Run() error {
-	fmt.Println("| planner | seed | took | bound | times bound | done | worst down in a pool | reserve | one rack for each pool | requests cut off |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Println("| planner | seed | took | bound | times bound | done | worst down in a pool | reserve | one rack for each pool | requests cut off | broken |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, oneByOne := range []bool{false, true} {
 		if oneByOne && c.Quick {
 			continue
 		}
 		for seed := range c.Seeds {
-			r := experimenter.RolloutTrial{Seed: seed + 1, MaxDown: c.MaxDown, OneByOne: oneByOne}.Run()
+			r := experimenter.RolloutTrial{
+				Seed: seed + 1, MaxDown: c.MaxDown, OneByOne: oneByOne, MaxFailed: rolloutMaxFailed,
+				Fault: experimenter.RolloutFaults()[c.Fault],
+			}.Run()
 			name := "by budget"
 			if oneByOne {
 				name = "one at a time"
 			}
-			fmt.Printf("| %s | %d | %s | %s | %.2f | %d | %d | %d | %d | %d of %d |\n", name, seed+1,
+			fmt.Printf("| %s | %d | %s | %s | %.2f | %d | %d | %d | %d | %d of %d | %d |\n", name, seed+1,
 				r.Took.Round(time.Second), r.Bound.Round(time.Second), r.Took.Seconds()/r.Bound.Seconds(),
-				r.Done, r.WorstDown, r.Reserve, r.RackEach, r.Cut, r.Requests)
+				r.Done, r.WorstDown, r.Reserve, r.RackEach, r.Cut, r.Requests, r.Broken)
 		}
 	}
 	return nil
@@ -145,7 +152,10 @@
 		{"Flood, a rack lost", floodCommand{Seeds: c.Seeds, Fault: "rack lost"}.Run},
 		{"Flood, a zone cut", floodCommand{Seeds: c.Seeds, Fault: "zone cut"}.Run},
 		{"Rotation", rotationCommand{Seeds: c.Seeds}.Run},
-		{"Roll-out", rolloutCommand{Seeds: c.Seeds, MaxDown: 3}.Run},
+		{"Roll-out", rolloutCommand{Seeds: c.Seeds, MaxDown: 3, Fault: "none"}.Run},
+		{"Roll-out, a rack lost", rolloutCommand{Seeds: c.Seeds, MaxDown: 3, Fault: "rack lost", Quick: true}.Run},
+		{"Roll-out, a zone cut", rolloutCommand{Seeds: c.Seeds, MaxDown: 3, Fault: "zone cut", Quick: true}.Run},
+		{"Roll-out, the leader lost", rolloutCommand{Seeds: c.Seeds, MaxDown: 3, Fault: "leader lost", Quick: true}.Run},
 		{"Capacity", capacityCommand{Sizes: []int{49, 500, 1500, 4100}}.Run},
 	}
 	for _, t := range tables {
--- a/experimenter/rollout.go
+++ b/experimenter/rollout.go
@@ -25,7 +25,8 @@
 	State     keeper.WaveState
 	Reserve   int // instances kept for one more loss, over all pools, before the wave
 	RackEach  int // what one rack for each pool would keep
-	Cut       int // requests that the wave cut off
+	Cut       int // requests that the wave, or the fault, cut off
+	Broken    int // invariants that did not hold
 	Requests  int
 	Starts    int
 	WorstDown int // most instances of one pool that were down at once
@@ -66,11 +67,53 @@
 			out.Cut++
 		}
 	}
+	out.Broken = len(w.Broken)
 	out.Requests = len(w.Calls)
 	out.Starts = len(w.Starts)
 	return out
 }
 
+// Times of a fault in a roll-out.
+const (
+	rolloutFaultBegin = 60 * time.Second
+	rolloutFaultEnd   = 120 * time.Second
+)
+
+// RolloutFaults are what may happen in the middle of a roll-out, by name. All end after a minute.
+func RolloutFaults() map[string]func(w *World, since time.Duration) {
+	return map[string]func(w *World, since time.Duration){
+		"none": func(*World, time.Duration) {},
+		"rack lost": func(w *World, since time.Duration) {
+			last := w.workers[len(w.workers)-1].Rack // the first ones are down for their maintenance then
+			for _, k := range w.workers {
+				if k.Rack != last {
+					continue
+				}
+				switch since {
+				case rolloutFaultBegin:
+					k.Kill()
+				case rolloutFaultEnd:
+					k.Restart()
+				}
+			}
+		},
+		"zone cut": func(w *World, since time.Duration) {
+			if since == rolloutFaultBegin || since == rolloutFaultEnd {
+				w.CutZone("c", since == rolloutFaultBegin)
+			}
+		},
+		"leader lost": func(w *World, since time.Duration) {
+			leader := w.Leader()
+			if since == rolloutFaultBegin && leader != nil {
+				leader.Crash()
+			}
+			if since == rolloutFaultEnd {
+				w.Heal()
+			}
+		},
+	}
+}
+
 // wave is the wave as the instance that knows most sees it.
 func (w *World) wave() keeper.Wave {
 	best := w.entries[0].view.State
