A service's longest run is kept; tokens are read once

services[].maxRun was accepted and used by no decision. It now ends a run before its caller's deadline does, and bounds what the mean run time learns (TestLongestRun). The daemon read each token file twice at start; the first token of an authenticator is now the one that is shown to others.

--- a/admitter/service.go
+++ b/admitter/service.go
@@ -23,6 +23,7 @@
 	waiting int
 	uses    []use
 	mean    time.Duration // learned run time
+	maxRun  time.Duration // longest run that is declared; zero: the caller's deadline
 
 	meanDemand float64 // running mean of the demand at all instances, in slots
 	over       bool    // asks for more than its guarantee
@@ -83,11 +84,19 @@
 }
 
 func (v service) withRun(ran time.Duration) service {
-	ran = min(max(ran, leastMean), largestMean)
+	ran = min(max(ran, leastMean), v.longest())
 	v.mean += (ran - v.mean) / meanWeight
 	return v
 }
 
+// longest is the longest run that the mean learns from.
+func (v service) longest() time.Duration {
+	if v.maxRun > 0 {
+		return min(v.maxRun, largestMean)
+	}
+	return largestMean
+}
+
 // withMeans takes the demand at a tick into the running means.
 func (v service) withMeans(demand int) service {
 	v.meanDemand = learnDemand(v.meanDemand, demand)
--- a/admitter/share_test.go
+++ b/admitter/share_test.go
@@ -179,3 +179,29 @@
 		})
 	}
 }
+
+// TestLongestRun checks that a declared bound ends a run before its caller's deadline does.
+func TestLongestRun(t *testing.T) {
+	tests := map[string]struct{ maxRun, wait, want time.Duration }{
+		"not declared":               {wait: time.Minute, want: time.Minute},
+		"declared":                   {maxRun: 20 * time.Second, wait: time.Minute, want: 20 * time.Second},
+		"the caller waits no longer": {maxRun: 20 * time.Second, wait: 5 * time.Second, want: 5 * time.Second},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newAdmitter(1)
+			d := s.weights.Declarations()
+			d.Services = []keeper.Service{{Name: "v", Pool: "p", Share: 1, MaxRun: tc.maxRun}}
+			s, _ = s.Step(start, messenger.View{State: s.weights.WithDeclarations(d)})
+			_, out := s.Step(start, request(1, "x", 3, tc.wait))
+			for _, m := range out {
+				a, ok := m.Body.(messenger.Admitted)
+				if ok {
+					must.Eq(t, start.Add(tc.want), a.Request.Deadline)
+					return
+				}
+			}
+			t.Fatal("not admitted")
+		})
+	}
+}
--- a/admitter/state.go
+++ b/admitter/state.go
@@ -121,6 +121,7 @@
 		}
 		v.home = d.Pool
 		v.share = max(d.Share, 1)
+		v.maxRun = d.MaxRun
 		s = s.withService(v)
 	}
 	for _, d := range view.Declarations().Pools {
--- a/admitter/turn.go
+++ b/admitter/turn.go
@@ -303,6 +303,9 @@
 		t.refuse(r, messenger.DeadlinePast, messenger.StatusUnavailable)
 		return
 	}
+	if v.maxRun > 0 {
+		r = r.WithEndBy(t.now.Add(v.maxRun))
+	}
 	t.state.picks++
 	q = q.withoutHead().withUse(1).withPick(t.state.picks)
 	t.state = t.state.withService(v.withQueue(q).withInUse(p.name, 1)).withPoolUse(p.name, 1)
--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -29,6 +29,7 @@
 	clock func() time.Time
 
 	mu       sync.Mutex
+	first    string // the one that this process shows itself
 	digests  [][sha256.Size]byte
 	modified time.Time
 	checked  time.Time
@@ -53,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	a.first = tokens[0]
 	a.digests = nil
 	for _, t := range tokens {
 		a.digests = append(a.digests, sha256.Sum256([]byte(t)))
@@ -61,6 +63,13 @@
 	return nil
 }
 
+// First is the first token of the file, for this process to show to others.
+func (a *Authenticator) First() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.first
+}
+
 // ReadTokens returns the tokens of a file.
 func ReadTokens(path string) ([]string, error) {
 	data, err := os.ReadFile(path)
--- a/messenger/request.go
+++ b/messenger/request.go
@@ -82,6 +82,14 @@
 	return r
 }
 
+// WithEndBy returns the request with an earlier deadline, if this one is earlier.
+func (r Request) WithEndBy(at time.Time) Request {
+	if at.Before(r.Deadline) {
+		r.Deadline = at
+	}
+	return r
+}
+
 // WithTimes returns the request with its arrival and deadline.
 func (r Request) WithTimes(arrived, deadline time.Time) Request {
 	r.Arrived = arrived
--- a/server/server.go
+++ b/server/server.go
@@ -77,8 +77,6 @@
 	endpoints *authenticator.Authenticator
 	operators *authenticator.Authenticator
 	peers     *authenticator.Authenticator
-	endpoint  string // the one to show to endpoints
-	peer      string // the one to show to peers
 }
 
 // steadyClock is a clock that never jumps: the time of its start and what passed since.
@@ -130,15 +128,6 @@
 			return err
 		}
 	}
-	endpoints, err := authenticator.ReadTokens(t.Endpoints)
-	if err != nil {
-		return err
-	}
-	peers, err := authenticator.ReadTokens(t.Peers)
-	if err != nil {
-		return err
-	}
-	s.tokens.endpoint, s.tokens.peer = endpoints[0], peers[0]
 	return nil
 }
 
@@ -166,7 +155,7 @@
 	s.courier = courier.NewCourier(courier.Config{
 		Name:    set.Name,
 		Peers:   s.peers(),
-		Client:  &http.Client{Transport: authenticator.Bearer{Token: s.tokens.peer, Next: transport}},
+		Client:  &http.Client{Transport: authenticator.Bearer{Token: s.tokens.peers.First(), Next: transport}},
 		Dropped: func(string) { s.reporter.Count("peerMessagesDropped", 1) },
 		Sent: func(_ string, n, bytes int) {
 			s.reporter.Count("peerMessagesSent", int64(n))
@@ -186,7 +175,7 @@
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		Clock:   s.clock,
-		Token:   s.tokens.endpoint,
+		Token:   s.tokens.endpoints.First(),
 		Done:    func(x messenger.Exchange) { s.stages().Send(messenger.Answerer, x) },
 		Revoked: func(r messenger.Revoked) { s.stages().Send(messenger.Claimer, r) },
 	})
