Ask the advisor for tickets before starts on its queues

Cause: a start on a queue with advice needs a ticket; the client could ask and an order could carry one, but nothing asked, so that such a queue got no start at all (every start rejected: ticket). Change: the scheduler asks for steps that find too few workers with a ticket, and ahead for steps whose predecessors all run; other instances ask as well. A pool of such a queue keeps machines enough that nearly every step finds one that may run it. Ruled out: asking for all workers of the pool (each costs the advisor time, which it takes in turn); asking through the ring of the provider's calls (a long question would delay moves). Network-free: TestAdvice, TestAdviceOfLasting, TestAdvisorRefuses, TestDelegateAdvice, TestAdvise.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -1,4 +1,4 @@
-// Package delegator hands orders to workers on to other instances, which make
+// Package delegator hands orders to workers, and questions to the advisor, on to other instances, which make
 // the calls, and brings the answers back: the calls of a large fleet are more
 // work than one small instance can do beside its decisions.
 package delegator
@@ -29,6 +29,8 @@
 	Hold       *messenger.Hold       `cbor:"2,keyasint,omitempty"`
 	OrderReply *messenger.OrderReply `cbor:"3,keyasint,omitempty"`
 	HoldReply  *messenger.HoldReply  `cbor:"4,keyasint,omitempty"`
+	Advise     *messenger.Advise     `cbor:"7,keyasint,omitempty"`
+	Advice     *messenger.Advice     `cbor:"8,keyasint,omitempty"`
 	Left       time.Duration         `cbor:"5,keyasint,omitempty"` // of an order's time
 	At         int64                 `cbor:"6,keyasint,omitempty"` // when the leader gave it, by its own clock, Unix nanoseconds
 }
@@ -82,6 +84,12 @@
 			d.send(m.Via, item{Hold: &m, Left: m.NotAfter.Sub(now), At: m.At.UnixNano()})
 			return
 		}
+	case messenger.Advise:
+		if m.Via != "" {
+			m.Origin = d.cfg.Name
+			d.send(m.Via, item{Advise: &m})
+			return
+		}
 	}
 	d.cfg.Local(body)
 }
@@ -99,6 +107,11 @@
 			d.send(m.Hold.Origin, item{HoldReply: &m, At: m.Hold.At.UnixNano()})
 			return
 		}
+	case messenger.Advice:
+		if m.Advise.Origin != "" {
+			d.send(m.Advise.Origin, item{Advice: &m})
+			return
+		}
 	}
 	d.cfg.Decided(body)
 }
@@ -118,6 +131,8 @@
 		case i.Hold != nil:
 			i.Hold.NotAfter, i.Hold.At = now.Add(i.Left), time.Unix(0, i.At)
 			d.cfg.Local(*i.Hold)
+		case i.Advise != nil:
+			d.cfg.Local(*i.Advise)
 		}
 	}
 	return nil
@@ -137,6 +152,8 @@
 		case i.HoldReply != nil:
 			i.HoldReply.Hold.At = time.Unix(0, i.At)
 			d.cfg.Decided(*i.HoldReply)
+		case i.Advice != nil:
+			d.cfg.Decided(*i.Advice)
 		}
 	}
 	return nil
@@ -178,7 +195,7 @@
 		}
 		var orders, replies []item
 		for next, ok := first, true; ok; next, ok = ring.TryTake() {
-			if next.Order != nil || next.Hold != nil {
+			if next.Order != nil || next.Hold != nil || next.Advise != nil {
 				orders = append(orders, next)
 			} else {
 				replies = append(replies, next)
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -88,3 +88,23 @@
 		})
 	}
 }
+
+// TestDelegateAdvice checks that a question to the advisor is asked where the leader says.
+func TestDelegateAdvice(t *testing.T) {
+	leader, other := newEnd(t, 0), newEnd(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	leader.d.Put(messenger.Advise{Job: "j", Step: 1, Workers: []string{"w"}, Via: other.server.URL})
+	body, err := other.local.Take(ctx)
+	must.NoError(t, err)
+	a, ok := body.(messenger.Advise)
+	must.True(t, ok)
+	must.EqOp(t, leader.server.URL, a.Origin)
+	other.d.Reply(messenger.Advice{Advise: a, OK: true, Good: []messenger.Permit{{Worker: "w", Ticket: "x"}}, Valid: time.Second})
+	body, err = leader.decided.Take(ctx)
+	must.NoError(t, err)
+	answer, ok := body.(messenger.Advice)
+	must.True(t, ok)
+	must.EqOp(t, "x", answer.Good[0].Ticket)
+	must.EqOp(t, 1, answer.Advise.Step)
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -17,6 +17,8 @@
 	providerRing = 128
 	senders      = 2 // orders under way at one worker
 	providerCall = 4 // calls under way at the provider
+	advisorRing  = 16
+	advisorCall  = 2 // calls under way at the advisor, which takes those of one instance in turn
 	idleAfter    = time.Minute
 )
 
@@ -38,6 +40,7 @@
 	mu       sync.Mutex
 	lanes    map[string]*lane
 	provider *buffer.Ring[any]
+	advisor  *buffer.Ring[messenger.Advise]
 	ctx      context.Context
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -55,19 +58,23 @@
 	l.holds.Close()
 }
 
-// NewDispatcher starts the duty that calls the provider. Workers get theirs with their first order.
+// NewDispatcher starts the duties that call the provider and the advisor. Workers get theirs with their first order.
 func NewDispatcher(cfg Config) *Dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dispatcher{
 		cfg:      cfg,
 		lanes:    make(map[string]*lane),
 		provider: buffer.NewRing[any](providerRing),
+		advisor:  buffer.NewRing[messenger.Advise](advisorRing),
 		ctx:      ctx,
 		cancel:   cancel,
 	}
 	for range providerCall {
 		d.done.Go(func() { serve(ctx, d.provider, d.callProvider) })
 	}
+	for range advisorCall {
+		d.done.Go(func() { serve(ctx, d.advisor, d.callAdvisor) })
+	}
 	return d
 }
 
@@ -85,6 +92,11 @@
 			d.cfg.Dropped(m.Worker)
 			d.cfg.Reply(messenger.HoldReply{Hold: m})
 		}
+	case messenger.Advise:
+		if !d.advisor.TryPut(m) {
+			d.cfg.Dropped("advisor")
+			d.cfg.Reply(messenger.Advice{Advise: m})
+		}
 	default:
 		if !d.provider.TryPut(body) {
 			d.cfg.Dropped("provider")
@@ -100,8 +112,6 @@
 		d.cfg.Reply(messenger.MachineList{SentAt: now, Received: now})
 	case messenger.MachineOrder:
 		d.cfg.Reply(messenger.MachineReply{Order: m, Refused: true, Reason: "no room", Received: now})
-	case messenger.Advise:
-		d.cfg.Reply(messenger.Advice{Advise: m, Received: now})
 	}
 }
 
@@ -179,7 +189,9 @@
 			return
 		}
 		d.cfg.Reply(d.cfg.Machine(ctx, m))
-	case messenger.Advise:
-		d.cfg.Reply(d.cfg.Advise(ctx, m))
 	}
 }
+
+func (d *Dispatcher) callAdvisor(ctx context.Context, a messenger.Advise) {
+	d.cfg.Reply(d.cfg.Advise(ctx, a))
+}
--- a/messenger/job.go
+++ b/messenger/job.go
@@ -282,6 +282,8 @@
 	K       int
 	Step    int
 	Workers []string
+	Via     string // the instance that makes the call; empty: the leader itself
+	Origin  string // the leader, at the instance that makes the call for it
 }
 
 // Permit is the advisor's ticket for a worker.
@@ -292,9 +294,8 @@
 
 // Advice is the advisor's answer.
 type Advice struct {
-	Advise   Advise
-	OK       bool
-	Good     []Permit
-	Valid    time.Duration
-	Received time.Time
+	Advise Advise
+	OK     bool
+	Good   []Permit
+	Valid  time.Duration // of each ticket
 }
--- a/registrar/fleet.go
+++ b/registrar/fleet.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -90,6 +91,17 @@
 	return r.CPU >= o.CPU && r.Memory >= o.Memory && r.GPU >= o.GPU
 }
 
+// Times tells how many tasks of a size fit.
+func (r Room) Times(o Room) int {
+	times := math.MaxInt32
+	for _, have := range []struct{ all, each int }{{r.CPU, o.CPU}, {r.Memory, o.Memory}, {r.GPU, o.GPU}} {
+		if have.each > 0 {
+			times = min(times, max(have.all, 0)/have.each)
+		}
+	}
+	return times
+}
+
 // Room is what one task of a step needs. A task that fills takes no processors from the others.
 func (s Step) Room() Room {
 	if s.Fills {
--- a/scheduler/balance.go
+++ b/scheduler/balance.go
@@ -128,7 +128,7 @@
 	rate := d.rateAt(t.now)
 	d.turns = d.turns.With(t.now, rate)
 	t.fleet = t.fleet.withDemand(p.Name, d)
-	least := max(p.anchored, d.spread, leastInPool)
+	least := max(p.anchored, d.spread, leastInPool, t.consents.machines(t.view.Config(), p.Name))
 	if d.unplaced && p.coming == 0 {
 		least = max(least, p.have+1)
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -49,7 +49,7 @@
 	late      int       // of wanted, for jobs that cannot be in time any more
 	spread    int       // machines over which lasting tasks of one step go
 	turns     turns
-	unplaced  bool      // a lasting task found no worker
+	unplaced  bool      // a task finds no worker, whatever room there is
 	surplusAt time.Time // since when the pool has more than it needs; zero: it has not
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -21,6 +21,7 @@
 	due        time.Time     // the job's objective
 	expected   time.Duration // of one of its tasks
 	pool       string
+	advised    bool // a start needs the advisor's ticket
 }
 
 // slot is a worker with the room that this placement leaves.
@@ -31,20 +32,25 @@
 
 // placement is one pass over all that waits.
 type placement struct {
+	now      time.Time
+	consents consents
+	advised  map[registrar.TaskName]bool   // steps that need tickets, ready or soon
+	short    []shortage                    // of these, in the order of placement
+	ahead    []shortage                    // steps that are not ready and only wait for tasks that run
 	slots    map[string][]*slot            // by pool
 	assigned map[registrar.TaskName]string // worker of tasks whose assignment is proposed
 	starts   []registrar.Start
 	rooms    []run
 	wanted   map[string]int              // processors of what could start now, by pool
 	late     map[string]int              // of these, of jobs that cannot be in time any more
-	unplaced map[string]bool             // pools in which a lasting task found no worker
+	unplaced map[string]bool             // pools in which a task finds no worker, whatever room there is
 	full     map[string][]registrar.Room // rooms that no worker of a pool has
 	spread   map[string]int              // machines over which lasting tasks of one step go, by pool
 }
 
 // place assigns waiting tasks to workers.
 func (t *turn) place() {
-	p := &placement{slots: t.slots(), assigned: make(map[registrar.TaskName]string), wanted: make(map[string]int), late: make(map[string]int), spread: make(map[string]int), full: make(map[string][]registrar.Room), unplaced: make(map[string]bool)}
+	p := &placement{now: t.now, consents: t.consents, advised: make(map[registrar.TaskName]bool), slots: t.slots(), assigned: make(map[registrar.TaskName]string), wanted: make(map[string]int), late: make(map[string]int), spread: make(map[string]int), full: make(map[string][]registrar.Room), unplaced: make(map[string]bool)}
 	for _, waits := range t.waits.All() {
 		for _, w := range waits {
 			p.note(w.starts)
@@ -67,6 +73,8 @@
 	}
 	t.noteWanted(p)
 	t.assign(p)
+	t.tendConsents(p)
+	t.askAdvisor(p)
 }
 
 // noteWanted keeps what each pool is asked for now: what runs and what could start.
@@ -144,10 +152,10 @@
 
 func (t *turn) gather(p *placement, j registrar.Job, out []candidate) []candidate {
 	pool, priority, objective := j.Service, 0, time.Duration(0)
-	stretch := 1.0
+	stretch, advised := 1.0, false
 	q, ok := t.view.Config().Queue(j.Queue)
 	if ok {
-		pool, priority, objective, stretch = q.Service, q.Priority, q.Objective, max(q.Stretch, 1)
+		pool, priority, objective, stretch, advised = q.Service, q.Priority, q.Objective, max(q.Stretch, 1), q.Advice
 	}
 	for k := range j.Occurrences() {
 		due := j.DueAt(k)
@@ -164,10 +172,17 @@
 		due = due.Add(time.Duration(stretch*float64(t.chain(j, registrar.Occurrence{}))) + objective)
 		late := t.now.Add(t.chain(j, o)).After(due)
 		for i, s := range j.Steps {
-			if o.Open[i] == 0 || !o.IsReady(s) {
+			if o.Open[i] == 0 {
+				continue
+			}
+			c := candidate{job: j, occurrence: o, step: i, priority: priority, lasting: s.Lasting, late: late, due: due, expected: t.expected(j.Queue, s), pool: pool, advised: advised}
+			if !o.IsReady(s) {
+				if advised && isNear(o, s) && q.AdviceLife > aheadTimes*c.expected {
+					p.advised[c.stepOf()] = true
+					p.ahead = append(p.ahead, shortage{candidate: c, tasks: s.Count})
+				}
 				continue
 			}
-			c := candidate{job: j, occurrence: o, step: i, priority: priority, lasting: s.Lasting, late: late, due: due, expected: t.expected(j.Queue, s), pool: pool}
 			for index, task := range o.Steps[i] {
 				name := registrar.TaskName{Job: j.ID, K: k, Step: i, Index: index}
 				if task.Phase == registrar.Waiting && p.assigned[name] == "" {
@@ -183,6 +198,7 @@
 				p.spread[pool] = max(p.spread[pool], (s.Count+most-1)/most)
 			}
 			if len(c.waiting) > 0 {
+				p.advised[c.stepOf()] = advised
 				out = append(out, c)
 			}
 		}
@@ -190,6 +206,18 @@
 	return out
 }
 
+// isNear tells whether a step only waits for tasks that run already.
+func isNear(o registrar.Occurrence, s registrar.Step) bool {
+	for _, before := range s.After {
+		for _, task := range o.Steps[before] {
+			if task.Phase == registrar.Waiting {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // chain is the longest chain of a job's steps that are not done in an occurrence, by what their tasks should take.
 func (t *turn) chain(j registrar.Job, o registrar.Occurrence) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
@@ -234,14 +262,17 @@
 		}
 	}
 	before := len(p.starts)
-	for _, index := range c.waiting {
+	for n, index := range c.waiting {
 		task := tasks[index]
 		s := p.choose(c, step, task, room, here, rack)
 		if s == nil {
+			if c.advised {
+				p.short = append(p.short, shortage{candidate: c, tasks: len(c.waiting) - n})
+			}
 			if step.Gang {
 				p.undo(before)
 			}
-			if step.Lasting {
+			if step.Lasting || (c.advised && !p.permits(c)) {
 				p.unplaced[c.pool] = true
 			}
 			return
@@ -257,6 +288,7 @@
 		r := runOf(c.job, name, run)
 		r.late = c.late && !step.Lasting
 		r.expected = c.expected
+		r.permit = p.consents.steps[c.stepOf()].ticket(p.now, s.worker)
 		p.rooms = append(p.rooms, r)
 	}
 }
@@ -291,7 +323,10 @@
 			continue
 		}
 		fits = true
-		if here[s.ID] >= most || (step.Requires != "" && !slices.Contains(s.Labels, step.Requires)) {
+		if here[s.ID] >= most || !s.meets(step) {
+			continue
+		}
+		if c.advised && p.consents.steps[c.stepOf()].ticket(p.now, s.worker) == "" {
 			continue
 		}
 		score := s.score(step, task, rack)
@@ -339,6 +374,11 @@
 	weightFails    = 1.0
 )
 
+// meets tells whether a worker has the label that a step asks for.
+func (s *slot) meets(step registrar.Step) bool {
+	return step.Requires == "" || slices.Contains(s.Labels, step.Requires)
+}
+
 func (s *slot) score(step registrar.Step, task registrar.Task, rack string) float64 {
 	score := -float64(s.free.CPU) / float64(max(s.Capacity.CPU, 1))
 	if step.Lasting && slices.ContainsFunc(s.runs, func(r run) bool { return r.lasting }) {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -135,6 +135,8 @@
 		return
 	case messenger.NotSent, messenger.RejectedFence:
 		return // sent again, or settled, by the next ticks
+	case messenger.RejectedPermit:
+		t.dropPermit(r.task, w.ID)
 	case messenger.RejectedRoom:
 		w.pauseUntil = t.now.Add(roomPause)
 	case messenger.Unhealthy, messenger.Elsewhere:
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -157,17 +157,18 @@
 	term     uint64
 	live     []string // other instances that can make calls
 
-	workers indexer.Map[string, worker]
-	waits   indexer.Map[uint64, []waiting] // by the ticket of the proposal
-	batch   []queued                       // to be proposed together
-	batchAt time.Time                      // of the last proposal
-	ticket  uint64
-	dirty   bool
-	passAt  time.Time
-	tickAt  time.Time
-	toldAt  time.Time // of the last summary
-	fleet   fleet
-	lengths map[string]length // of tasks, by queue
+	workers  indexer.Map[string, worker]
+	waits    indexer.Map[uint64, []waiting] // by the ticket of the proposal
+	batch    []queued                       // to be proposed together
+	batchAt  time.Time                      // of the last proposal
+	ticket   uint64
+	dirty    bool
+	passAt   time.Time
+	tickAt   time.Time
+	toldAt   time.Time // of the last summary
+	fleet    fleet
+	lengths  map[string]length // of tasks, by queue
+	consents consents          // of the advisor
 }
 
 // NewState returns a scheduler that does not lead. Tickets start behind the given one.
@@ -224,6 +225,8 @@
 		t.takeHold(m)
 	case messenger.OrderReply:
 		t.takeOrder(m)
+	case messenger.Advice:
+		t.takeAdvice(m)
 	case messenger.MachineList:
 		t.takeMachines(m)
 	case messenger.MachineReply:
@@ -330,6 +333,7 @@
 	t.waits = indexer.NewMap[uint64, []waiting]()
 	t.workers = indexer.NewMap[string, worker]()
 	t.fleet = fleet{}
+	t.consents = consents{}
 	t.tell(messenger.Decision{What: "steppedDown"})
 }
 
