Pace tasks that fill so that those that serve beside them keep their targets

Cause: nothing was ever paced; tasks that fill were put on the fullest worker, any number of them, since their room counts no processors, and demand did not count them either. Beside a task with a target they could hold it over that for as long as they ran. Change: tasks that fill go where most is idle, together never ask for more than a worker has, and count in the pool's demand; at a worker with both, lists come twice a second and set the pace of the fills by the tail of those that serve. What was not answered is sent again while the lost order may still be carried out. A new leader sets every pace anew. Ruled out: stopping fills (their work is lost); keeping them apart always (a pool has often less machines than that takes).

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -109,7 +109,7 @@
 	work := 0.0
 	for _, s := range j.Steps {
 		if !s.Lasting {
-			work += float64(s.Count) * float64(s.Room().CPU) / 1000 * t.expected(j.Queue, s).Seconds()
+			work += float64(s.Count) * float64(s.CPU) / 1000 * t.expected(j.Queue, s).Seconds()
 		}
 	}
 	t.fleet = t.fleet.withDemand(j.Service, t.fleet.demands[j.Service].WithWork(t.now, work))
--- a/scheduler/length.go
+++ b/scheduler/length.go
@@ -29,7 +29,7 @@
 // learn takes the run time of a task that was done.
 func (t *turn) learn(r run, how registrar.How) {
 	j, ok := t.view.Job(r.task.Job)
-	if !ok || how != registrar.EndDone || r.lasting || r.ackedAt.IsZero() {
+	if !ok || how != registrar.EndDone || r.lasting || r.fills || r.ackedAt.IsZero() {
 		return
 	}
 	t.lengths = maps.Clone(t.lengths)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -27,7 +27,8 @@
 // slot is a worker with the room that this placement leaves.
 type slot struct {
 	worker
-	free registrar.Room
+	free    registrar.Room
+	filling int // processors that the tasks that fill there would use
 }
 
 // placement is one pass over all that waits.
@@ -81,10 +82,10 @@
 func (t *turn) noteWanted(p *placement) {
 	running := make(map[string]int)
 	for _, w := range t.workers.All() {
-		running[w.Service] += w.used.CPU
+		running[w.Service] += w.used.CPU + w.fillLoad()
 		for _, r := range w.runs {
 			if r.late {
-				p.late[w.Service] += r.room.CPU
+				p.late[w.Service] += r.load
 			}
 		}
 	}
@@ -128,7 +129,7 @@
 		if !w.takesStarts(t.now) || t.fleet.reserves(w.ID) {
 			continue
 		}
-		out[w.Service] = append(out[w.Service], &slot{worker: w, free: w.Capacity.Minus(w.used)})
+		out[w.Service] = append(out[w.Service], &slot{worker: w, free: w.Capacity.Minus(w.used), filling: w.fillLoad()})
 	}
 	return out
 }
@@ -189,9 +190,9 @@
 					c.waiting = append(c.waiting, index)
 				}
 			}
-			p.wanted[pool] += len(c.waiting) * s.Room().CPU
+			p.wanted[pool] += len(c.waiting) * s.CPU
 			if c.late && !s.Lasting {
-				p.late[pool] += len(c.waiting) * s.Room().CPU
+				p.late[pool] += len(c.waiting) * s.CPU
 			}
 			if s.Lasting {
 				most := min(hardLimit(s), softLimit(s))
@@ -278,6 +279,9 @@
 			return
 		}
 		s.free = s.free.Minus(room)
+		if step.Fills {
+			s.filling += step.CPU
+		}
 		here[s.ID]++
 		if step.SameRack && rack == "" {
 			rack = s.Rack()
@@ -300,6 +304,9 @@
 			for _, s := range slots {
 				if s.ID == start.Worker {
 					s.free = s.free.Plus(p.rooms[to+i].room)
+					if p.rooms[to+i].fills {
+						s.filling -= p.rooms[to+i].load
+					}
 				}
 			}
 		}
@@ -323,7 +330,7 @@
 			continue
 		}
 		fits = true
-		if here[s.ID] >= most || !s.meets(step) {
+		if here[s.ID] >= most || !s.meets(step) || (step.Fills && !s.holdsFill(step)) {
 			continue
 		}
 		if c.advised && p.consents.steps[c.stepOf()].ticket(p.now, s.worker) == "" {
@@ -372,6 +379,7 @@
 	weightRack     = 2.0
 	weightFailed   = 4.0
 	weightFails    = 1.0
+	weightServes   = 1.0 // tasks that fill and tasks that serve disturb each other
 )
 
 // meets tells whether a worker has the label that a step asks for.
@@ -381,7 +389,13 @@
 
 func (s *slot) score(step registrar.Step, task registrar.Task, rack string) float64 {
 	score := -float64(s.free.CPU) / float64(max(s.Capacity.CPU, 1))
-	if step.Lasting && slices.ContainsFunc(s.runs, func(r run) bool { return r.lasting }) {
+	if step.Fills {
+		score = s.scoreFill()
+	}
+	if step.Target > 0 && s.filling > 0 {
+		score -= weightServes
+	}
+	if step.Lasting && !step.Fills && slices.ContainsFunc(s.runs, func(r run) bool { return r.lasting }) {
 		score += weightTogether
 	}
 	if (step.DataRack != "" && s.Rack() == step.DataRack) || (rack != "" && s.Rack() == rack) {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -103,6 +103,11 @@
 		return
 	}
 	r := w.runs[i]
+	if m.Order.Kind == messenger.PaceRun {
+		t.set(w)
+		t.takePaceReply(m, r)
+		return
+	}
 	r.out = false
 	t.set(w.WithRun(r))
 	if m.Order.Kind == messenger.StopRun {
@@ -235,6 +240,7 @@
 	t.reconcile(m)
 	t.takeEnds(m)
 	t.judge(m.Hold.Worker)
+	t.pace(m.Hold.Worker)
 	w, _ = t.workers.Get(m.Hold.Worker)
 	if !w.ackWaits {
 		t.hold(w)
@@ -257,7 +263,7 @@
 			continue
 		}
 		listed := m.Running[at]
-		r.listed, r.percent = true, listed.Percent
+		r.listed, r.percent, r.gauge = true, listed.Percent, listed.Gauge
 		if listed.Saved != "" {
 			r.saved = listed.Saved
 		}
@@ -386,6 +392,10 @@
 	if len(w.runs) == 0 {
 		wait = holdIdle
 	}
+	_, serves := w.tail()
+	if serves && w.fills() {
+		wait = paceLook
+	}
 	if w.listedAt.IsZero() || slices.ContainsFunc(w.runs, func(r run) bool { return !r.stoppedAt.IsZero() }) {
 		wait = 0
 	}
@@ -453,6 +463,11 @@
 		w, _ := t.workers.Get(id)
 		t.set(w.WithRun(r))
 	}
+	if r.pacing && t.now.Sub(r.pacedAt) > orderLost {
+		r.pacing = false
+		w, _ := t.workers.Get(id)
+		t.set(w.WithRun(r))
+	}
 	if !r.committed || r.out || r.ending {
 		return
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -17,6 +17,8 @@
 	lasting   bool
 	late      bool // its job could not be in time any more when it was placed
 	fills     bool
+	load      int           // processors that it uses if there are, in thousandths
+	target    time.Duration // bound on its tail latency, if it serves
 	expected  time.Duration // run time that its queue usually takes
 	committed bool          // the assignment is durable, so the worker may be told
 	inherited bool          // an earlier leader assigned it
@@ -33,7 +35,13 @@
 
 	listed  bool // the worker has listed it
 	percent int
+	gauge   int // tail latency in milliseconds of a task that serves
 	saved   string
+
+	paced     int       // share in percent at which a task that fills works
+	pacing    bool      // an order about it is under way
+	pacedAt   time.Time // when that was sent
+	paceDoubt time.Time // until then an order without answer may be carried out
 }
 
 // worker is a worker as the leader sees it.
@@ -57,6 +65,7 @@
 	pauseUntil time.Time // no starts until then
 	slowUntil  time.Time // set aside as slow until then
 	failRate   float64   // moving average of failed ends
+	pacedAt    time.Time // when its tasks that fill were last looked at
 
 	runs []run
 	used registrar.Room
@@ -357,7 +366,7 @@
 				w = worker{Worker: registrar.Worker{ID: task.Worker, Life: task.Life}, deadAt: deadAt}
 			}
 			r := runOf(j, name, task.Run)
-			r.committed, r.inherited = true, true
+			r.committed, r.inherited, r.paced = true, true, paceUnknown
 			t.set(w.WithRun(r))
 		})
 	})
@@ -376,7 +385,7 @@
 
 func runOf(j registrar.Job, name registrar.TaskName, number int) run {
 	step := j.Steps[name.Step]
-	return run{task: name, number: number, room: step.Room(), lasting: step.Lasting, fills: step.Fills}
+	return run{task: name, number: number, room: step.Room(), lasting: step.Lasting, fills: step.Fills, load: step.CPU, target: step.Target, paced: paceFull}
 }
 
 // takeProposed takes the outcome of a proposal.
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -22,6 +23,7 @@
 	moveTime   = 1500 * time.Millisecond
 	maxLease   = 6 * time.Second
 	beatEvery  = 1500 * time.Millisecond
+	harmTime   = 4 * time.Second // for which a task may be over its target
 )
 
 // world is a scheduler with workers, a provider and callers on fake time. It
@@ -77,6 +79,7 @@
 	slow      float64       // workers that take eight times as long
 	failing   float64       // workers that fail all that they start
 	darkRack  time.Duration // a rack falls silent at this time
+	disturb   float64       // by which a task that fills at full pace raises the tail of those that serve, as a share of their target
 	newLeader time.Duration // the lead goes to another node each so often
 }
 
@@ -86,11 +89,15 @@
 }
 
 type fakeRun struct {
-	run   int
-	end   time.Time
-	fails bool
-	lasts bool
-	began time.Time
+	run    int
+	end    time.Time
+	fails  bool
+	lasts  bool
+	began  time.Time
+	fills  bool
+	target time.Duration
+	pace   int       // percent, of a task that fills
+	over   time.Time // since when a task that serves is over its target for the sake of those that fill
 }
 
 type fakeWorker struct {
@@ -327,6 +334,13 @@
 		x.highest[o.Task] = max(x.highest[o.Task], o.Run)
 		return messenger.Obeyed
 	}
+	if o.Kind == messenger.PaceRun {
+		r, ok := x.runs[o.Task]
+		if ok && r.run == o.Run {
+			x.runs[o.Task] = r.withPace(w.Now(), o.Percent)
+		}
+		return messenger.Obeyed
+	}
 	deadline := w.start.Add(time.Duration(o.Deadline) * time.Millisecond)
 	if deadline.Before(w.Now()) {
 		return messenger.RejectedLate
@@ -378,6 +392,48 @@
 	w.After(w.advisor.freeAt.Sub(w.Now()), func() { w.step(reply) })
 }
 
+// withPace returns a run that goes on at another pace.
+func (r fakeRun) withPace(now time.Time, percent int) fakeRun {
+	left := time.Duration(float64(r.end.Sub(now)) * float64(r.pace) / 100)
+	r.pace = percent
+	r.end = now.Add(time.Hour)
+	if percent > 0 {
+		r.end = now.Add(left * 100 / time.Duration(percent))
+	}
+	return r
+}
+
+// tail is the tail latency of a run that serves, raised by what fills beside it
+// by an amount that changes within seconds.
+func (w *world) tail(x *fakeWorker, r fakeRun) time.Duration {
+	share := 0.5
+	swing := 1 + 0.5*math.Sin(w.Now().Sub(w.start).Seconds()*2)
+	for _, other := range x.runs {
+		if other.fills {
+			share += w.faults.disturb * swing * float64(other.pace) / 100
+		}
+	}
+	return time.Duration(share * float64(r.target))
+}
+
+// watchTails checks that no run that serves stays over its target because of those that fill.
+func (w *world) watchTails() {
+	for _, x := range w.workers {
+		w.expire(x)
+		for name, r := range x.runs {
+			if r.target == 0 || x.gone || x.dark || w.tail(x, r) <= r.target {
+				r.over = time.Time{}
+			} else if r.over.IsZero() {
+				r.over = w.Now()
+			}
+			x.runs[name] = r
+			if !r.over.IsZero() && w.Now().Sub(r.over) > harmTime {
+				w.t.Fatalf("%v on %s is over its target for %v", name, x.ID, w.Now().Sub(r.over))
+			}
+		}
+	}
+}
+
 // begin starts a run, and checks that it may.
 func (w *world) begin(x *fakeWorker, o messenger.Order) {
 	j, ok := w.register.Job(o.Task.Job)
@@ -391,7 +447,7 @@
 	if x.slow {
 		took *= 8
 	}
-	x.runs[o.Task] = fakeRun{run: o.Run, began: w.Now(), end: w.Now().Add(took), fails: x.fails, lasts: step.Lasting}
+	x.runs[o.Task] = fakeRun{run: o.Run, began: w.Now(), end: w.Now().Add(took), fails: x.fails, lasts: step.Lasting, fills: step.Fills, target: step.Target, pace: 100}
 }
 
 func (w *world) check(x *fakeWorker, o messenger.Order, j registrar.Job) {
@@ -467,7 +523,7 @@
 		if r.lasts && w.Now().Sub(r.began) > 900*time.Millisecond {
 			percent = 100
 		}
-		reply.Running = append(reply.Running, messenger.RunReport{Task: name, Run: r.run, Percent: percent})
+		reply.Running = append(reply.Running, messenger.RunReport{Task: name, Run: r.run, Percent: percent, Gauge: int(w.tail(x, r).Milliseconds())})
 	}
 	reply.Ended = slices.Clone(x.ended)
 	w.After(callTime, func() { w.step(reply) })
