Order machines for the trend of a pool's demand

Change: two averages of the demand tell its trend; machines are ordered for 1.4 times what it or the queue grows by while a machine moves. Network-free: TestPolicies, peaks that swell nearly as high as the fleet.

--- a/scheduler/balance.go
+++ b/scheduler/balance.go
@@ -152,7 +152,7 @@
 func (t *turn) waitingAfterMove(d demand, rate float64) float64 {
 	wanted, running := float64(d.wanted)/1000, float64(d.running)/1000
 	growth := max(rate-running, 0) * t.cfg.Move.Seconds() / taskLength.Seconds()
-	return wanted + growth*t.cfg.GrowthShare
+	return wanted + max(growth, d.trend.rise(t.cfg.Move))*t.cfg.GrowthShare
 }
 
 // bring orders one machine to a pool: one that another pool does not need, else one from standby.
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -18,7 +18,7 @@
 }
 
 // GrowthShare is the usual share: more machines than this come too late for the queue's growth.
-const GrowthShare = 0.7
+const GrowthShare = 1.4
 
 // SlowSpeed is the usual bound: task lengths of one queue differ by a factor of two by themselves.
 const SlowSpeed = 0.35
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -48,6 +48,7 @@
 	wanted    int       // processors of what runs and what could start now, in thousandths
 	late      int       // of wanted, for jobs that cannot be in time any more
 	spread    int       // machines over which lasting tasks of one step go
+	trend     trend     // of wanted
 	turns     turns
 	unplaced  bool      // a task finds no worker, whatever room there is
 	surplusAt time.Time // since when the pool has more than it needs; zero: it has not
--- a/scheduler/forecast.go
+++ b/scheduler/forecast.go
@@ -7,6 +7,8 @@
 
 // What makes a rise of demand, and when one is expected again.
 const (
+	trendFast   = 300 * time.Millisecond // of the two averages that tell a trend, about two lists of a worker
+	trendSlow   = time.Second            // about a task
 	riseSpan    = time.Second            // over which demand is averaged to tell rises from single large jobs
 	riseShare   = 0.4                    // of the highest demand, above which a pool is at a peak
 	fallShare   = 0.15                   // of it, below which the peak is over
@@ -18,6 +20,29 @@
 	peakShare   = 0.8                    // of the processors of the last peak, brought ahead of the next
 )
 
+// trend is how demand changes: two averages, the slower of which lags behind.
+type trend struct {
+	fast, slow float64 // processors
+	seenAt     time.Time
+}
+
+// With returns the trend after one more look at the demand in processors.
+func (s trend) With(now time.Time, demand float64) trend {
+	if s.seenAt.IsZero() {
+		return trend{fast: demand, slow: demand, seenAt: now}
+	}
+	passed := now.Sub(s.seenAt).Seconds()
+	s.fast += (demand - s.fast) * (1 - math.Exp(-passed/trendFast.Seconds()))
+	s.slow += (demand - s.slow) * (1 - math.Exp(-passed/trendSlow.Seconds()))
+	s.seenAt = now
+	return s
+}
+
+// rise is by how many processors the demand grows in a span, if it grows.
+func (s trend) rise(span time.Duration) float64 {
+	return max(s.fast-s.slow, 0) * span.Seconds() / (trendSlow - trendFast).Seconds()
+}
+
 // turns is what was learned of the peaks of a pool's demand.
 type turns struct {
 	level  float64 // processors, averaged over riseSpan
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"laburnumwind/registrar"
@@ -9,12 +10,27 @@
 
 // load hands in jobs of two steps at a rate that turns from queue to queue.
 func (w *world) load(queues []string, perS float64, turn time.Duration, until time.Duration) {
+	w.shapedLoad(queues, perS, turn, until, func(time.Duration) float64 { return 1 })
+}
+
+// swells is a load that rises and falls within each turn.
+func swells(turn time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		return math.Pow(math.Sin(math.Pi*float64(at%turn)/float64(turn)), 2)
+	}
+}
+
+// shapedLoad hands in jobs of two steps at a share of a rate, which turns from queue to queue.
+func (w *world) shapedLoad(queues []string, perS float64, turn, until time.Duration, shape func(time.Duration) float64) {
 	var next func()
 	next = func() {
 		if w.Now().Sub(w.start) > until {
 			return
 		}
 		w.After(time.Duration(w.r.ExpFloat64()/perS*float64(time.Second)), next)
+		if w.r.Float64() > shape(w.Now().Sub(w.start)) {
+			return
+		}
 		w.jobs++
 		queue := queues[int(w.Now().Sub(w.start)/turn)%len(queues)]
 		if w.r.Float64() < 0.1 {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -92,6 +92,7 @@
 	for _, pool := range t.view.Config().Pools {
 		d := t.fleet.demands[pool.Name]
 		d.running, d.late = running[pool.Name], p.late[pool.Name]
+		d.trend = d.trend.With(t.now, float64(p.wanted[pool.Name]+running[pool.Name])/1000)
 		d.wanted, d.spread, d.unplaced = p.wanted[pool.Name]+d.running, p.spread[pool.Name], p.unplaced[pool.Name]
 		t.fleet = t.fleet.withDemand(pool.Name, d)
 	}
--- a/scheduler/policy_test.go
+++ b/scheduler/policy_test.go
@@ -26,6 +26,15 @@
 			pools: map[string]int{"a": 9, "b": 9, "c": 11, "d": 12, "standby": 8}, load: turning,
 			before: func(c *Config) { c.GrowthShare = 0 },
 		},
+		"peaks that swell and turn from queue to queue nearly as high as the fleet": {
+			pools: map[string]int{"a": 6, "b": 6, "c": 7, "d": 8, "standby": 5},
+			load: func(w *world) {
+				w.After(3*time.Second, func() {
+					w.shapedLoad([]string{"a", "b", "c", "d"}, 80, 10*time.Second, 40*time.Second, swells(10*time.Second))
+				})
+			},
+			before: func(c *Config) { c.GrowthShare = 0 },
+		},
 		"a burst of large jobs beside the peak of another queue: late work gives its machines up": {
 			pools: map[string]int{"a": 12, "b": 9, "c": 9, "standby": 8},
 			load: func(w *world) {
@@ -61,7 +70,7 @@
 				return sum / float64(*seeds)
 			}
 			with, without := run(func(*Config) {}), run(tt.before)
-			t.Logf("in time: %.3f, before %.3f", with, without)
+			t.Logf("%s: in time: %.3f, before %.3f", name, with, without)
 			must.Greater(t, without, with)
 		})
 	}
