Lasting tasks get another machine before the upkeep of theirs

What was stopped for an upkeep went to the next machine that was due, or waited for its own to come back; and a hold of up to a second hid that it was at work again. Change: workers whose machine is due take lasting tasks last; a machine's upkeep waits until its lasting tasks have another worker to go to, once short tasks there have ended, and the pool gets two machines for that, for three seconds at most; holds are short while a lasting task starts. Ruled out: room that is free at the moment (in a peak there is none, and the wave stood still from 4 to 10 s); waiting four seconds.

--- a/scheduler/balance.go
+++ b/scheduler/balance.go
@@ -132,6 +132,9 @@
 	if d.unplaced && p.coming == 0 {
 		least = max(least, p.have+1)
 	}
+	if t.isCramped(d) && p.coming == 0 {
+		least = max(least, p.have+crampedRoom)
+	}
 	waiting, late := t.waitingAfterMove(d, rate), float64(d.late)/1000
 	expected := max(rate*demandRoom, d.turns.expected(t.now, t.cfg.Move))
 	if t.cfg.LateHolds {
@@ -146,6 +149,11 @@
 	return int(math.Ceil(cores * 1000 / (float64(size) * packing)))
 }
 
+// isCramped tells whether a lasting task waits for a worker to go to.
+func (t *turn) isCramped(d demand) bool {
+	return !d.crampedAt.IsZero() && t.now.Sub(d.crampedAt) < crampedSpan+bootTime
+}
+
 // waitingAfterMove is how many processors could be used at once when a machine
 // that is ordered now arrives: what runs and waits, and what comes meanwhile
 // beyond what the pool can do.
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -34,6 +34,7 @@
 	batchEvery = 15 * time.Millisecond // least time between two proposals, about two syncs of a disk
 
 	holdBusy    = time.Second             // longest wait of a hold at a worker with runs
+	startLook   = 250 * time.Millisecond  // longest wait of a hold while a lasting task starts: others wait for it to be at work
 	holdIdle    = 2 * time.Second         // the platform's bound on the wait of a hold
 	holdOverdue = 200 * time.Millisecond  // beyond its wait, after which a hold's worker gets no start
 	holdRetry   = 150 * time.Millisecond  // after a hold without answer, times the misses
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -27,6 +27,8 @@
 	taskLength  = time.Second            // of short tasks, by which a queue grows while machines are on their way
 	surplusSpan = 800 * time.Millisecond // a pool has too much for so long before it gives machines up
 	bootTime    = 4 * time.Second        // after an order a machine's worker may not be known yet
+	crampedSpan = 3 * time.Second        // a lasting task waits so long for a worker before it is stopped for an upkeep all the same
+	crampedRoom = 2                      // machines brought for lasting tasks that have nowhere to go: one for the next as well
 	leastInPool = 2                      // machines kept in a pool that is in use
 )
 
@@ -51,6 +53,7 @@
 	trend     trend     // of wanted
 	turns     turns
 	unplaced  bool      // a task finds no worker, whatever room there is
+	crampedAt time.Time // since when a lasting task has nowhere to go before an upkeep; zero: none has
 	surplusAt time.Time // since when the pool has more than it needs; zero: it has not
 }
 
@@ -79,6 +82,7 @@
 	since    time.Time // when this leader took over
 	demands  map[string]demand
 	reserved map[string]bool      // workers that get no new runs, because their machine is about to go
+	due      map[string]bool      // workers whose machine is due for upkeep
 	leaving  map[string]bool      // of these, workers whose machine was ordered to go
 	absent   map[string]time.Time // machines of waves that no list names, since when
 	denied   map[string]bool      // moves that the provider refused for good: machine and pool
@@ -234,7 +238,7 @@
 	if !fresh {
 		return
 	}
-	t.fleet.reserved, t.fleet.leaving = make(map[string]bool), make(map[string]bool)
+	t.fleet.reserved, t.fleet.leaving, t.fleet.due = make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	t.fleet.orders = 0
 	for _, m := range t.fleet.machines.All() {
 		if m.out {
@@ -276,6 +280,9 @@
 	if len(gone) > 0 {
 		t.propose(registrar.Command{Upkeep: gone}, waiting{})
 	}
+	for _, m := range due {
+		t.fleet.due[m.Worker] = true
+	}
 	slices.SortStableFunc(due, func(a, b machine) int { return t.load(a) - t.load(b) })
 	for _, m := range due {
 		if free <= 0 || t.fleet.orders >= mostOrders {
@@ -333,6 +340,9 @@
 			return // the list may name a worker that is gone, and another may be there
 		}
 		t.fleet.reserved[w.ID] = true
+		if !t.mayGoElsewhere(w) {
+			return
+		}
 		if !t.mayEnd(w) {
 			t.evacuate(w)
 			return
@@ -398,6 +408,64 @@
 	}
 }
 
+// mayGoElsewhere tells whether a worker's lasting tasks find another worker, or
+// have waited long enough for one: the pool gets a machine for them.
+func (t *turn) mayGoElsewhere(w worker) bool {
+	d := t.fleet.demands[w.Service]
+	found := true
+	for _, r := range w.runs {
+		j, ok := t.view.Job(r.task.Job)
+		if r.lasting && ok && j.Outcome == registrar.Active && !t.hasOther(w, j.Steps[r.task.Step], r) {
+			found = false
+		}
+	}
+	switch {
+	case found:
+		d.crampedAt = time.Time{}
+	case d.crampedAt.IsZero():
+		d.crampedAt = t.now
+	}
+	t.fleet = t.fleet.withDemand(w.Service, d)
+	return found || t.now.Sub(d.crampedAt) > crampedSpan
+}
+
+// hasOther tells whether another worker of the pool, whose machine stays, has
+// room for a lasting task once the short ones there have ended: it goes before others.
+func (t *turn) hasOther(w worker, step registrar.Step, r run) bool {
+	for _, other := range t.workers.All() {
+		if other.Service != w.Service || other.ID == w.ID || !other.takesStarts(t.now) || t.fleet.reserves(other.ID) || t.fleet.due[other.ID] {
+			continue
+		}
+		s := slot{worker: other, free: other.Capacity.Minus(other.lastingRoom())}
+		if s.free.Holds(r.room) && s.meets(step) && other.runsOf(r.task) < hardLimit(step) {
+			return true
+		}
+	}
+	return false
+}
+
+// lastingRoom is what a worker's lasting tasks take.
+func (w worker) lastingRoom() registrar.Room {
+	room := registrar.Room{}
+	for _, r := range w.runs {
+		if r.lasting {
+			room = room.Plus(r.room)
+		}
+	}
+	return room
+}
+
+// runsOf is the number of a worker's runs of the step that a task belongs to.
+func (w worker) runsOf(task registrar.TaskName) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.Job == task.Job && r.task.K == task.K && r.task.Step == task.Step {
+			n++
+		}
+	}
+	return n
+}
+
 // awayWithout is how many tasks of a step would be away without a worker.
 func (t *turn) awayWithout(j registrar.Job, name registrar.TaskName, without string) int {
 	o, ok := j.Occurrence(name.K)
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,3 +45,41 @@
 		})
 	}
 }
+
+// TestWaveAmongTasksApart checks that tasks that last, each on a machine of its
+// own, make way for the upkeep of most machines in time, and none goes twice.
+func TestWaveAmongTasksApart(t *testing.T) {
+	for seed := range *seeds {
+		w := newWorld(t, uint64(seed), map[string]int{"a": 9, "b": 5, "standby": 4}, faults{})
+		w.After(3*time.Second, func() {
+			w.submit("a", registrar.Job{ID: fmt.Sprintf("%016x", 1), Steps: []registrar.Step{{Count: 8, CPU: 2000, Memory: 7000, Spread: 1, Lasting: true, MayMiss: 1, HasMayMiss: true}}})
+		})
+		w.After(8*time.Second, func() {
+			var machines []string
+			for _, name := range slices.Sorted(maps.Keys(w.machines)) {
+				if w.machines[name].Pool == "a" && len(machines) < 7 {
+					machines = append(machines, name)
+				}
+			}
+			wave := registrar.Wave{ID: 1, Machines: machines, FinishBy: (20 * time.Second).Nanoseconds(), Most: 4}
+			w.register, _ = w.register.Apply(w.Now(), registrar.Command{Wave: &wave})
+			w.view()
+		})
+		if seed == 0 {
+			w.Every(500*time.Millisecond, func() {
+				wv, _ := w.register.Wave(1)
+				n := 0
+				for _, m := range w.machines {
+					if m.Pool == "a" {
+						n++
+					}
+				}
+				fmt.Println(w.Now().Sub(w.start), len(wv.Done), w.outcomes, n, len(w.state.fleet.due), w.state.fleet.demands["a"].crampedAt.Sub(w.start))
+			})
+		}
+		w.RunFor(28 * time.Second)
+		wave, _ := w.register.Wave(1)
+		must.True(t, wave.IsComplete(), must.Sprintf("seed %d: %d of %d done", seed, len(wave.Done), len(wave.Machines)))
+		must.LessEq(t, 7, w.outcomes["stopped"], must.Sprintf("seed %d: %v", seed, w.outcomes))
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -28,7 +28,8 @@
 type slot struct {
 	worker
 	free    registrar.Room
-	filling int // processors that the tasks that fill there would use
+	due     bool // its machine is due for upkeep
+	filling int  // processors that the tasks that fill there would use
 }
 
 // placement is one pass over all that waits.
@@ -129,7 +130,7 @@
 		if !w.takesStarts(t.now) || t.fleet.reserves(w.ID) {
 			continue
 		}
-		out[w.Service] = append(out[w.Service], &slot{worker: w, free: w.Capacity.Minus(w.used), filling: w.filling})
+		out[w.Service] = append(out[w.Service], &slot{worker: w, free: w.Capacity.Minus(w.used), filling: w.filling, due: t.fleet.due[w.ID]})
 	}
 	return out
 }
@@ -435,6 +436,7 @@
 	weightRack     = 2.0
 	weightFailed   = 4.0
 	weightFails    = 1.0
+	weightDue      = 3.5 // what lasts would have to go again
 	weightServes   = 1.0 // tasks that fill and tasks that serve disturb each other
 )
 
@@ -451,6 +453,9 @@
 	if step.Target > 0 && s.filling > 0 {
 		score -= weightServes
 	}
+	if step.Lasting && s.due {
+		score -= weightDue
+	}
 	if step.Lasting && !step.Fills && slices.ContainsFunc(s.runs, func(r run) bool { return r.lasting }) {
 		score += weightTogether
 	}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -396,6 +396,9 @@
 	if serves && w.fills() {
 		wait = paceLook
 	}
+	if wait > startLook && w.starts() {
+		wait = startLook
+	}
 	if w.listedAt.IsZero() || slices.ContainsFunc(w.runs, func(r run) bool { return !r.stoppedAt.IsZero() }) {
 		wait = 0
 	}
@@ -411,6 +414,11 @@
 	})
 }
 
+// starts tells whether a lasting task on the worker is not at work yet.
+func (w worker) starts() bool {
+	return slices.ContainsFunc(w.runs, func(r run) bool { return r.lasting && !r.stopping && r.percent < 100 })
+}
+
 // via names the instance that makes the calls to a worker. A leader of many
 // workers leaves them to the others: its own processor is for the decisions.
 func (t *turn) via(w worker) string {
