A leader applies what the others have synced while its own disk stalls

Cause: a node applied committed entries only once its own disk had synced them. Change: committed is enough, since a majority has it on disk; what a restart reads back was never more than what is synced. Ruled out: a resigning leader (an election costs half a second, and a slow disk is no reason for one).

--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -29,6 +29,7 @@
 	alive   bool
 	frozen  bool
 	synced  simDisk      // what survives a crash
+	stalled bool         // its disk takes no writes
 	pending []simEffects // writes not synced yet, with the messages behind them
 	run     int
 }
@@ -153,7 +154,7 @@
 	n.pending = append(n.pending, out)
 	run := n.run
 	s.After(time.Duration(s.rand.IntN(4_000))*time.Microsecond, func() {
-		if n.alive && n.run == run && len(n.pending) > 0 {
+		if n.alive && n.run == run && !n.stalled && len(n.pending) > 0 {
 			s.sync(n)
 		}
 	})
--- a/replicator/state_test.go
+++ b/replicator/state_test.go
@@ -21,6 +21,16 @@
 			s.RunFor(2 * time.Second)
 			s.propose(s.leader())
 		}},
+		"the leader's disk stalls": {voters: 3, act: func(s *sim) {
+			old := s.leader()
+			s.nodes[old].stalled = true
+			ticket := s.propose(old)
+			s.RunFor(time.Second)
+			_, ok := s.acked[ticket]
+			if !ok || s.leader() != old {
+				s.fail("a leader whose disk stalls does not go on with the others")
+			}
+		}},
 		"the leader is cut off and comes back": {voters: 3, learners: 1, act: func(s *sim) {
 			old := s.leader()
 			s.isolate(old, true)
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -81,7 +81,7 @@
 
 // WakeAt is when a node wants its next tick.
 func (s State[C, S, R]) WakeAt(now time.Time) time.Time {
-	if s.applied < min(s.commit, s.persisted) {
+	if s.applied < s.commit {
 		return now // a step applied what it may; between two, messages are taken
 	}
 	if s.role == Leader {
@@ -305,10 +305,10 @@
 	}
 }
 
-// apply applies what is committed and, on a node with a disk, synced.
+// apply applies what is committed: a majority has synced it, though this node may not have.
 func (r *round[C, S, R]) apply() {
 	s := &r.state
-	for n := 0; s.applied < min(s.commit, s.persisted) && (s.cfg.MaxApply == 0 || n < s.cfg.MaxApply); n++ {
+	for n := 0; s.applied < s.commit && (s.cfg.MaxApply == 0 || n < s.cfg.MaxApply); n++ {
 		e := s.entries.Get(int(s.applied - s.base))
 		s.applied++
 		r.out.Applied++
