--- a/controller/controller.go
+++ b/controller/controller.go
@@ -66,6 +66,7 @@
 	Reporter   *reporter.Reporter
 	Scheduler  scheduler.Config
 	Dispatcher dispatcher.Config // its calls; the rest is filled in
+	Lead       func(leads bool)  // is told when this node begins or ceases to lead
 	Failed     func(error)       // is told when the node can no longer run
 }
 
@@ -200,6 +201,7 @@
 			c.cfg.Reporter.Count("jobsWrites", int64(n))
 			c.cfg.Reporter.Time("jobsSync", took)
 		},
+		Full:   c.cfg.Reporter.DiskFull,
 		Failed: c.cfg.Failed,
 	})
 	c.line = runner.NewLine(runner.LineConfig{
@@ -209,7 +211,7 @@
 			messenger.Recorder:   func(body any) { c.recorder.Put(body.(assembler.JobsWrite)) },
 			messenger.Dispatcher: c.delegator.Put,
 			messenger.Provider:   c.dispatcher.Put,
-			messenger.Responder:  c.responder.Take,
+			messenger.Responder:  c.takeView,
 			messenger.Reporter:   c.cfg.Reporter.Take,
 		},
 		Clock:    c.cfg.Clock,
@@ -220,6 +222,15 @@
 	close(c.started)
 }
 
+// takeView tells of a change of the lead and hands the message on.
+func (c *Controller) takeView(body any) {
+	v, ok := body.(messenger.JobsView)
+	if ok && v.Leads != c.View().Leads {
+		c.cfg.Lead(v.Leads)
+	}
+	c.responder.Take(body)
+}
+
 func (c *Controller) peers() []replicator.Peer {
 	var out []replicator.Peer
 	for _, name := range c.cfg.Seeds {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"laburnumwind/assembler"
@@ -13,12 +15,16 @@
 // ringSize is how many writes may wait for the disk.
 const ringSize = 4096
 
+// fullRetry is the time between two attempts to write to a full disk.
+const fullRetry = 200 * time.Millisecond
+
 // Config describes the duty that writes one group's log.
 type Config[C, S, R any] struct {
 	Store     *Store[C, S, R]
 	Send      func(replicator.Message[C, S, R]) // what may go after the sync
 	Persisted func(replicator.Persisted)
 	Synced    func(writes int, took time.Duration) // is told of each sync
+	Full      func(error)                          // is told that the disk is full, and with nil that it has room again
 	Failed    func(error)                          // the disk can no longer be written: the voter must stop
 }
 
@@ -41,7 +47,7 @@
 				return
 			}
 			batch := r.gather(first)
-			err = writeBatch(cfg, batch)
+			err = writeBatch(ctx, cfg, batch)
 			if err != nil {
 				cfg.Failed(err)
 				return
@@ -74,7 +80,33 @@
 	}
 }
 
-func writeBatch[C, S, R any](cfg Config[C, S, R], batch []assembler.Write[C, S, R]) error {
+// appendWhenRoom waits while the disk is full: the voter acknowledges nothing
+// meanwhile, and the others go on without it.
+func appendWhenRoom[C, S, R any](ctx context.Context, cfg Config[C, S, R], w replicator.Write[C, S]) error {
+	told := false
+	for {
+		err := cfg.Store.Append(w)
+		if !errors.Is(err, syscall.ENOSPC) {
+			if told && err == nil {
+				cfg.Full(nil)
+			}
+			return err
+		}
+		if !told {
+			cfg.Full(err)
+			told = true
+		}
+		wait := time.NewTimer(fullRetry)
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+			return err
+		}
+	}
+}
+
+func writeBatch[C, S, R any](ctx context.Context, cfg Config[C, S, R], batch []assembler.Write[C, S, R]) error {
 	began := time.Now()
 	writes := 0
 	var last replicator.Persisted
@@ -83,7 +115,7 @@
 			continue
 		}
 		writes++
-		err := cfg.Store.Append(*w.Write)
+		err := appendWhenRoom(ctx, cfg, *w.Write)
 		if err != nil {
 			return err
 		}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -50,6 +50,7 @@
 				Send:      func(m testMessage) { sent.TryPut(m) },
 				Persisted: func(p replicator.Persisted) { persisted.TryPut(p) },
 				Synced:    func(int, time.Duration) {},
+				Full:      func(err error) { failed.TryPut(err) },
 				Failed:    func(err error) { failed.TryPut(err) },
 			})
 			put(r, 2)
@@ -77,3 +78,24 @@
 		Synced: []testMessage{{Kind: replicator.AppendReply, To: "b"}},
 	})
 }
+
+// TestFullDisk checks that a write to a full disk waits for room and is then there whole.
+func TestFullDisk(t *testing.T) {
+	folder := t.TempDir()
+	store, _, err := open(t, folder, false)
+	must.NoError(t, err)
+	log := store.log
+	store.log, err = os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	must.NoError(t, err)
+	var told []bool
+	cfg := Config[keeper.Command, keeper.State, keeper.Result]{Store: store, Full: func(err error) {
+		told = append(told, err != nil)
+		store.log = log
+	}}
+	must.NoError(t, appendWhenRoom(t.Context(), cfg, testWrite{Term: 2, From: 2, Entries: []testEntry{entry(2)}}))
+	must.Eq(t, []bool{true, false}, told)
+	must.NoError(t, store.Close())
+	_, disk, err := open(t, folder, true)
+	must.NoError(t, err)
+	must.Len(t, 1, disk.Entries)
+}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -96,6 +96,16 @@
 	return metrics.GetOrRegisterCounter(name, r.Registry).Count()
 }
 
+// DiskFull tells that a write waits for room on the disk, or, without an error, that it found some.
+func (r *Reporter) DiskFull(err error) {
+	if err != nil {
+		r.Count("diskFull", 1)
+		r.cfg.Log.Warn().Err(err).Msg("disk full")
+		return
+	}
+	r.cfg.Log.Info().Msg("disk has room")
+}
+
 // Gauge sets a gauge.
 func (r *Reporter) Gauge(name string, n int64) {
 	metrics.GetOrRegisterGauge(name, r.Registry).Update(n)
--- a/server/disks.go
+++ b/server/disks.go
@@ -37,6 +37,7 @@
 	claims       func(assembler.ClaimsMessage)
 	persisted    func(messenger.Stage, replicator.Persisted)
 	synced       func(group string, writes int, took time.Duration)
+	full         func(error)
 	failed       func(error)
 }
 
@@ -110,6 +111,7 @@
 		Send:      edges.declarations,
 		Persisted: func(p replicator.Persisted) { edges.persisted(messenger.Declarations, p) },
 		Synced:    func(n int, took time.Duration) { edges.synced(groupDeclarations, n, took) },
+		Full:      edges.full,
 		Failed:    edges.failed,
 	})
 	d.claimsDuty = recorder.NewRecorder(recorder.Config[claimer.Command, claimer.Register, claimer.Result]{
@@ -117,6 +119,7 @@
 		Send:      edges.claims,
 		Persisted: func(p replicator.Persisted) { edges.persisted(messenger.Claims, p) },
 		Synced:    func(n int, took time.Duration) { edges.synced(groupClaims, n, took) },
+		Full:      edges.full,
 		Failed:    edges.failed,
 	})
 }
--- a/server/server.go
+++ b/server/server.go
@@ -278,6 +278,7 @@
 			s.reporter.Count(group+"Writes", int64(n))
 			s.reporter.Time(group+"Sync", took)
 		},
+		full:   s.reporter.DiskFull,
 		failed: s.cfg.Failed,
 	})
 	s.line = runner.NewLine(runner.LineConfig{
