--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -289,17 +289,8 @@
 			number = max(number, task.Run+1)
 		}
 	}
-	here := make(map[string]int)
+	here := p.placesOf(c)
 	rack := ""
-	for index, task := range tasks {
-		worker := p.assignee(c, index)
-		if task.Phase == registrar.Running {
-			worker = task.Worker
-		}
-		if worker != "" {
-			here[worker]++
-		}
-	}
 	before := len(p.starts)
 	var s *slot
 	for n, index := range c.waiting {
@@ -338,6 +329,21 @@
 	}
 }
 
+// placesOf counts the runs of a step by worker.
+func (p *placement) placesOf(c *candidate) map[string]int {
+	here := make(map[string]int)
+	for index, task := range c.occurrence.Steps[c.step] {
+		worker := p.assignee(c, index)
+		if task.Phase == registrar.Running {
+			worker = task.Worker
+		}
+		if worker != "" {
+			here[worker]++
+		}
+	}
+	return here
+}
+
 // staysBest tells whether the worker that a step's last task went to is the best
 // for the next one too: the fullest with room is fuller now.
 func staysBest(s *slot, step registrar.Step, task registrar.Task, here map[string]int) bool {
