--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -17,7 +17,7 @@
 	MachineLease time.Duration // a new leader orders no machine for so long, in which its predecessor's orders end
 }
 
-// GrowthShare is the usual share: more machines than this come too late for the queue's growth.
+// GrowthShare is the usual share. It is above one since a demand that climbs goes on to climb while machines move.
 const GrowthShare = 1.4
 
 // SlowSpeed is the usual bound: task lengths of one queue differ by a factor of two by themselves.
@@ -28,7 +28,7 @@
 	tickEvery  = 50 * time.Millisecond
 	fleetEvery = 100 * time.Millisecond // a machine takes ten times as long to move
 	passLeast  = 10 * time.Millisecond  // least time between two placements, so that news come together
-	passForJob = 80 * time.Microsecond  // so that placements take a tenth of a small machine at most
+	passForJob = 80 * time.Microsecond  // about eight times what one job costs a placement on a small machine
 	passMost   = 100 * time.Millisecond // a placement waits no longer
 
 	batchEvery = 15 * time.Millisecond // least time between two proposals, about two syncs of a disk
