--- a/recorder/store.go
+++ b/recorder/store.go
@@ -136,13 +136,29 @@
 	if err != nil {
 		return fmt.Errorf("append to %s: %w", s.group, err)
 	}
+	n, err := s.log.Write(frame(data))
+	if err == nil {
+		return nil
+	}
+	cut := s.cutBack(int64(n))
+	if cut != nil {
+		return fmt.Errorf("append to %s failed (%v), and so did its removal: %w", s.group, err, cut)
+	}
+	return fmt.Errorf("append to %s: %w", s.group, err)
+}
+
+// cutBack removes the last bytes of the log.
+func (s *Store[C, S, R]) cutBack(n int64) error {
+	if n == 0 {
+		return nil
+	}
 	end, err := s.log.Seek(0, io.SeekEnd)
 	if err != nil {
-		return fmt.Errorf("find the end of %s: %w", s.group, err)
+		return fmt.Errorf("find the end: %w", err)
 	}
-	_, err = s.log.Write(frame(data))
+	err = s.log.Truncate(end - n)
 	if err != nil {
-		return errors.Join(fmt.Errorf("append to %s: %w", s.group, err), s.log.Truncate(end))
+		return fmt.Errorf("cut off torn write: %w", err)
 	}
 	return nil
 }
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -115,12 +115,12 @@
 	return min(most, adviseMachines)
 }
 
-// underWay is the number of questions that an instance has at the advisor.
-func (c consents) underWay(via string) int {
-	n := 0
+// underWay is the number of questions at the advisor by the instance that asks them.
+func (c consents) underWay() map[string]int {
+	n := make(map[string]int)
 	for _, s := range c.steps {
-		if !s.askedAt.IsZero() && s.via == via {
-			n++
+		if !s.askedAt.IsZero() {
+			n[s.via]++
 		}
 	}
 	return n
@@ -148,25 +148,30 @@
 // askAdvisor asks for workers for the steps that found too few with a ticket, in
 // their order, and then for those that will be ready next.
 func (t *turn) askAdvisor(p *placement) {
+	if len(p.short) == 0 && len(p.ahead) == 0 {
+		return
+	}
+	underWay := t.consents.underWay()
 	for _, s := range slices.Concat(p.short, p.ahead) {
-		via, ok := t.asker()
-		if !ok {
+		via := t.asker(underWay)
+		if underWay[via] >= adviseAtOnce {
 			return
 		}
-		t.ask(p, s, via)
+		if t.ask(p, s, via) {
+			underWay[via]++
+		}
 	}
 }
 
 // asker is the instance with the fewest questions at the advisor: it serves each in its turn.
-func (t *turn) asker() (string, bool) {
-	best, least := "", t.consents.underWay("")
+func (t *turn) asker(underWay map[string]int) string {
+	best := ""
 	for _, via := range t.live {
-		n := t.consents.underWay(via)
-		if n < least {
-			best, least = via, n
+		if underWay[via] < underWay[best] {
+			best = via
 		}
 	}
-	return best, least < adviseAtOnce
+	return best
 }
 
 // shortage is a step for which workers with a ticket are missing.
@@ -175,21 +180,23 @@
 	tasks int // that found none
 }
 
-func (t *turn) ask(p *placement, s shortage, via string) {
+// ask sends a question about a step, unless there is one or nobody to ask about.
+func (t *turn) ask(p *placement, s shortage, via string) bool {
 	name := s.stepOf()
 	have := t.consents.steps[name]
 	if !have.askedAt.IsZero() || t.now.Before(have.retryAt) {
-		return
+		return false
 	}
 	step := s.job.Steps[s.step]
 	workers := p.worthAsking(s, step, have, t.consents.share(s.job.Queue))
 	if len(workers) == 0 {
-		return
+		return false
 	}
 	have.askedAt, have.via = t.now, via
 	t.consents = t.consents.withStep(name, have)
 	t.tell(messenger.Decision{What: "advisorAsked", Job: name.Job, Pool: s.pool, Candidates: len(workers)})
 	t.Send(messenger.Dispatcher, messenger.Advise{Job: name.Job, K: name.K, Step: name.Step, Workers: workers, Via: via})
+	return true
 }
 
 // permits tells whether a worker that is there may run the step, now or later.
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +14,55 @@
 	"laburnumwind/registrar"
 )
 
+// fakeAdvisor lets only some workers run a step, and takes questions in turn.
+type fakeAdvisor struct {
+	decide, each, valid time.Duration
+	share               float64 // of the workers that may run a step
+	freeAt              time.Time
+	questions, rejected int
+}
+
+func (a *fakeAdvisor) lets(step registrar.TaskName, worker string) bool {
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, step.Job, step.K, step.Step, worker)
+	return float64(h.Sum32()%1000) < 1000*a.share
+}
+
+// ticket ends at a time that it names.
+func (a *fakeAdvisor) ticket(step registrar.TaskName, worker string, until time.Time) string {
+	step.Index = 0
+	return fmt.Sprintf("%v %s %d", step, worker, until.UnixNano())
+}
+
+func (w *world) isPermitted(x *fakeWorker, o messenger.Order) bool {
+	at := strings.LastIndexByte(o.Permit, ' ')
+	if at < 0 {
+		return false
+	}
+	nanos, err := strconv.ParseInt(o.Permit[at+1:], 10, 64)
+	until := time.Unix(0, nanos)
+	return err == nil && w.Now().Before(until) && o.Permit == w.advisor.ticket(o.Task, x.ID, until)
+}
+
+// advise answers questions one after the other.
+func (w *world) advise(a messenger.Advise) {
+	took := w.advisor.decide + time.Duration(len(a.Workers))*w.advisor.each
+	if w.advisor.freeAt.Before(w.Now()) {
+		w.advisor.freeAt = w.Now()
+	}
+	w.advisor.freeAt = w.advisor.freeAt.Add(took)
+	w.advisor.questions++
+	reply := messenger.Advice{Advise: a, OK: true, Valid: w.advisor.valid}
+	until := w.advisor.freeAt.Add(w.advisor.valid)
+	step := registrar.TaskName{Job: a.Job, K: a.K, Step: a.Step}
+	for _, id := range a.Workers {
+		if w.advisor.lets(step, id) {
+			reply.Good = append(reply.Good, messenger.Permit{Worker: id, Ticket: w.advisor.ticket(step, id, until)})
+		}
+	}
+	w.After(w.advisor.freeAt.Sub(w.Now()), func() { w.step(reply) })
+}
+
 // withAdvisor lets a queue's jobs start only with the advisor's ticket.
 func (w *world) withAdvisor(queue string, a *fakeAdvisor) {
 	c := w.register.Config()
--- a/scheduler/balance.go
+++ b/scheduler/balance.go
@@ -151,7 +151,7 @@
 
 // isCramped tells whether a lasting task waits for a worker to go to.
 func (t *turn) isCramped(d demand) bool {
-	return !d.crampedAt.IsZero() && t.now.Sub(d.crampedAt) < 2*fleetEvery
+	return t.now.Sub(d.crampedAt) < 2*fleetEvery
 }
 
 // waitingAfterMove is how many processors could be used at once when a machine
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -373,7 +373,7 @@
 // isSettled tells whether orders that an earlier leader gave about a machine are surely over.
 func (t *turn) isSettled(m machine) bool {
 	at := t.view.OrderedAt(m.Name)
-	return !at.After(t.fleet.since) && t.now.Sub(at) > t.cfg.MachineLease || at.After(t.fleet.since)
+	return at.After(t.fleet.since) || t.now.Sub(at) > t.cfg.MachineLease
 }
 
 // mayEnd tells whether all lasting tasks on a worker may be ended now: of none
@@ -438,8 +438,8 @@
 		if other.Service != w.Service || other.ID == w.ID || !other.takesStarts(t.now) || t.fleet.reserves(other.ID) || t.fleet.due[other.ID] {
 			continue
 		}
-		s := slot{worker: other, free: other.Capacity.Minus(other.lastingRoom())}
-		if s.free.Holds(r.room) && s.meets(step) && other.runsOf(r.task) < hardLimit(step) {
+		free := other.Capacity.Minus(other.lastingRoom())
+		if free.Holds(r.room) && other.meets(step) && other.runsOf(r.task) < hardLimit(step) {
 			return true
 		}
 	}
--- a/scheduler/forecast.go
+++ b/scheduler/forecast.go
@@ -20,6 +20,11 @@
 	peakShare   = 0.8                    // of the processors of the last peak, brought ahead of the next
 )
 
+// averaged is a moving average over a span after one more value, some time after the last.
+func averaged(have, value float64, passed, span time.Duration) float64 {
+	return have + (value-have)*(1-math.Exp(-passed.Seconds()/span.Seconds()))
+}
+
 // trend is how demand changes: two averages, the slower of which lags behind.
 type trend struct {
 	fast, slow float64 // processors
@@ -31,9 +36,9 @@
 	if s.seenAt.IsZero() {
 		return trend{fast: demand, slow: demand, seenAt: now}
 	}
-	passed := now.Sub(s.seenAt).Seconds()
-	s.fast += (demand - s.fast) * (1 - math.Exp(-passed/trendFast.Seconds()))
-	s.slow += (demand - s.slow) * (1 - math.Exp(-passed/trendSlow.Seconds()))
+	passed := now.Sub(s.seenAt)
+	s.fast = averaged(s.fast, demand, passed, trendFast)
+	s.slow = averaged(s.slow, demand, passed, trendSlow)
 	s.seenAt = now
 	return s
 }
@@ -56,13 +61,13 @@
 
 // With returns the turns after one more look at the demand in processors.
 func (s turns) With(now time.Time, demand float64) turns {
-	passed := now.Sub(s.seenAt).Seconds()
+	passed := now.Sub(s.seenAt)
 	if s.seenAt.IsZero() {
 		passed = 0
 	}
 	s.seenAt = now
-	s.level += (demand - s.level) * (1 - math.Exp(-passed/riseSpan.Seconds()))
-	s.top = max(s.level, s.top*math.Exp(-passed/topSpan.Seconds()))
+	s.level = averaged(s.level, demand, passed, riseSpan)
+	s.top = max(s.level, averaged(s.top, 0, passed, topSpan))
 	switch {
 	case !s.high && s.level > riseShare*s.top && s.top > 0:
 		s = s.risen(now)
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -34,6 +34,18 @@
 	doubtUntil time.Time // until then an order without answer may be carried out
 }
 
+// WithSent returns the pacing once an order about it was sent.
+func (p pacing) WithSent(now time.Time) pacing {
+	p.out, p.sentAt = true, now
+	return p
+}
+
+// WithoutAnswer returns the pacing once an order about it is given up.
+func (p pacing) WithoutAnswer() pacing {
+	p.out = false
+	return p
+}
+
 // tail is the worst tail latency of the serving tasks at work on a worker, as a share of the target.
 func (w worker) tail() (float64, bool) {
 	worst, serves := 0.0, false
@@ -104,10 +116,7 @@
 	if percent != r.pace.percent {
 		t.tell(messenger.Decision{What: "pace", Job: r.task.Job, Run: r.number, Instance: id, Candidates: percent, Age: t.now.Sub(w.listedAt)})
 	}
-	next := *r.pace
-	next.out, next.sentAt = true, t.now
-	r.pace = &next
-	t.set(w.WithRun(r))
+	t.set(w.WithRun(r.withPace(r.pace.WithSent(t.now))))
 	t.Send(messenger.Dispatcher, messenger.Order{
 		Kind: messenger.PaceRun, Worker: w.ID, Address: w.Address, Task: r.task, Run: r.number, Fence: t.term,
 		Percent: percent, NotAfter: t.leaseEnd, At: t.now, Via: t.via(w),
@@ -118,16 +127,30 @@
 // out late, over a newer pace, so that the pace is sent again for a while.
 func (t *turn) takePaceReply(m messenger.OrderReply, r run) {
 	w, _ := t.workers.Get(m.Order.Worker)
-	next := *r.pace
-	next.out = false
+	next := r.pace.WithoutAnswer()
 	switch m.Verdict {
 	case messenger.Obeyed:
 		next.percent = m.Order.Percent
 	case messenger.Unanswered:
 		next.percent, next.doubtUntil = m.Order.Percent, t.now.Add(paceDoubt)
 	}
-	r.pace = &next
+	t.set(w.WithRun(r.withPace(next)))
+}
+
+// tendPace gives up an order about a pace that nobody answers any more.
+func (t *turn) tendPace(id string, r run) run {
+	if r.pace == nil || !r.pace.out || t.now.Sub(r.pace.sentAt) <= orderLost {
+		return r
+	}
+	r = r.withPace(r.pace.WithoutAnswer())
+	w, _ := t.workers.Get(id)
 	t.set(w.WithRun(r))
+	return r
+}
+
+func (r run) withPace(p pacing) run {
+	r.pace = &p
+	return r
 }
 
 // scoreFill tells how well a worker suits a task that fills: where most
--- a/scheduler/pace_test.go
+++ b/scheduler/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -10,6 +11,48 @@
 	"laburnumwind/registrar"
 )
 
+// withPace returns a run that goes on at another pace.
+func (r fakeRun) withPace(now time.Time, percent int) fakeRun {
+	left := time.Duration(float64(r.end.Sub(now)) * float64(r.pace) / 100)
+	r.pace = percent
+	r.end = now.Add(time.Hour)
+	if percent > 0 {
+		r.end = now.Add(left * 100 / time.Duration(percent))
+	}
+	return r
+}
+
+// tail is the tail latency of a run that serves, raised by what fills beside it
+// by an amount that changes within seconds.
+func (w *world) tail(x *fakeWorker, r fakeRun) time.Duration {
+	share := 0.5
+	swing := 1 + 0.5*math.Sin(w.Now().Sub(w.start).Seconds()*2)
+	for _, other := range x.runs {
+		if other.fills {
+			share += w.faults.disturb * swing * float64(other.pace) / 100
+		}
+	}
+	return time.Duration(share * float64(r.target))
+}
+
+// watchTails checks that no run that serves stays over its target because of those that fill.
+func (w *world) watchTails() {
+	for _, x := range w.workers {
+		w.expire(x)
+		for name, r := range x.runs {
+			if r.target == 0 || x.gone || x.dark || w.tail(x, r) <= r.target {
+				r.over = time.Time{}
+			} else if r.over.IsZero() {
+				r.over = w.Now()
+			}
+			x.runs[name] = r
+			if !r.over.IsZero() && w.Now().Sub(r.over) > harmTime {
+				w.t.Fatalf("%v on %s is over its target for %v", name, x.ID, w.Now().Sub(r.over))
+			}
+		}
+	}
+}
+
 // TestPace checks that tasks that fill never hold those that serve over their
 // target for long, and are done all the same.
 func TestPace(t *testing.T) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -91,8 +91,8 @@
 	for _, pool := range t.view.Config().Pools {
 		d := t.fleet.demands[pool.Name]
 		d.running, d.late = running[pool.Name], p.late[pool.Name]
-		d.trend = d.trend.With(t.now, float64(p.wanted[pool.Name]+running[pool.Name])/1000)
 		d.wanted, d.spread, d.unplaced = p.wanted[pool.Name]+d.running, p.spread[pool.Name], p.unplaced[pool.Name]
+		d.trend = d.trend.With(t.now, float64(d.wanted)/1000)
 		t.fleet = t.fleet.withDemand(pool.Name, d)
 	}
 }
@@ -169,8 +169,8 @@
 		if !open {
 			continue
 		}
-		if !advised && !waits(j, o) {
-			p.noteSpread(pool, j, o)
+		p.noteSpread(pool, j, o)
+		if !advised && !mayWait(j, o) {
 			continue
 		}
 		if due.IsZero() {
@@ -178,7 +178,6 @@
 		}
 		due = due.Add(time.Duration(stretch*float64(t.chain(j, registrar.Occurrence{}))) + objective)
 		late := t.now.Add(t.chain(j, o)).After(due)
-		p.noteSpread(pool, j, o)
 		for i, s := range j.Steps {
 			if o.Open[i] == 0 {
 				continue
@@ -209,9 +208,9 @@
 	return out
 }
 
-// waits tells whether a task of a step that is ready has no worker yet. It may
-// say so of jobs with several occurrences where none has.
-func waits(j registrar.Job, o registrar.Occurrence) bool {
+// mayWait tells whether a task of a step that is ready may have no worker yet.
+// Of jobs with several occurrences it always says so.
+func mayWait(j registrar.Job, o registrar.Occurrence) bool {
 	open := 0
 	for i, s := range j.Steps {
 		if o.Open[i] > 0 && o.IsReady(s) {
@@ -379,6 +378,7 @@
 	fits := false
 	free := registrar.Room{}
 	most := hardLimit(step)
+	said := p.consents.steps[c.stepOf()]
 	for _, s := range p.slots[c.pool] {
 		free = free.Max(s.free)
 		if !s.free.Holds(room) {
@@ -388,7 +388,7 @@
 		if here[s.ID] >= most || !s.meets(step) || (step.Fills && !s.holdsFill(step)) {
 			continue
 		}
-		if c.advised && p.consents.steps[c.stepOf()].ticket(p.now, s.worker) == "" {
+		if c.advised && said.ticket(p.now, s.worker) == "" {
 			continue
 		}
 		score := s.score(step, task, rack)
@@ -447,8 +447,8 @@
 )
 
 // meets tells whether a worker has the label that a step asks for.
-func (s *slot) meets(step registrar.Step) bool {
-	return step.Requires == "" || slices.Contains(s.Labels, step.Requires)
+func (w worker) meets(step registrar.Step) bool {
+	return step.Requires == "" || slices.Contains(w.Labels, step.Requires)
 }
 
 func (s *slot) score(step registrar.Step, task registrar.Task, rack string) float64 {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -471,13 +471,7 @@
 		w, _ := t.workers.Get(id)
 		t.set(w.WithRun(r))
 	}
-	if r.pace != nil && r.pace.out && t.now.Sub(r.pace.sentAt) > orderLost {
-		next := *r.pace
-		next.out = false
-		r.pace = &next
-		w, _ := t.workers.Get(id)
-		t.set(w.WithRun(r))
-	}
+	r = t.tendPace(id, r)
 	if !r.committed || r.out || r.ending {
 		return
 	}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"fmt"
-	"hash/fnv"
-	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -52,26 +48,6 @@
 	advisor  *fakeAdvisor
 }
 
-// fakeAdvisor lets only some workers run a step, and takes questions in turn.
-type fakeAdvisor struct {
-	decide, each, valid time.Duration
-	share               float64 // of the workers that may run a step
-	freeAt              time.Time
-	questions, rejected int
-}
-
-func (a *fakeAdvisor) lets(step registrar.TaskName, worker string) bool {
-	h := fnv.New32a()
-	_, _ = fmt.Fprint(h, step.Job, step.K, step.Step, worker)
-	return float64(h.Sum32()%1000) < 1000*a.share
-}
-
-// ticket ends at a time that it names.
-func (a *fakeAdvisor) ticket(step registrar.TaskName, worker string, until time.Time) string {
-	step.Index = 0
-	return fmt.Sprintf("%v %s %d", step, worker, until.UnixNano())
-}
-
 // faults are the troubles of a world, as shares of what happens.
 type faults struct {
 	late      float64       // orders that are carried out seconds later, without an answer
@@ -363,77 +339,6 @@
 	return messenger.Obeyed
 }
 
-func (w *world) isPermitted(x *fakeWorker, o messenger.Order) bool {
-	at := strings.LastIndexByte(o.Permit, ' ')
-	if at < 0 {
-		return false
-	}
-	nanos, err := strconv.ParseInt(o.Permit[at+1:], 10, 64)
-	until := time.Unix(0, nanos)
-	return err == nil && w.Now().Before(until) && o.Permit == w.advisor.ticket(o.Task, x.ID, until)
-}
-
-// advise answers questions one after the other.
-func (w *world) advise(a messenger.Advise) {
-	took := w.advisor.decide + time.Duration(len(a.Workers))*w.advisor.each
-	if w.advisor.freeAt.Before(w.Now()) {
-		w.advisor.freeAt = w.Now()
-	}
-	w.advisor.freeAt = w.advisor.freeAt.Add(took)
-	w.advisor.questions++
-	reply := messenger.Advice{Advise: a, OK: true, Valid: w.advisor.valid}
-	until := w.advisor.freeAt.Add(w.advisor.valid)
-	step := registrar.TaskName{Job: a.Job, K: a.K, Step: a.Step}
-	for _, id := range a.Workers {
-		if w.advisor.lets(step, id) {
-			reply.Good = append(reply.Good, messenger.Permit{Worker: id, Ticket: w.advisor.ticket(step, id, until)})
-		}
-	}
-	w.After(w.advisor.freeAt.Sub(w.Now()), func() { w.step(reply) })
-}
-
-// withPace returns a run that goes on at another pace.
-func (r fakeRun) withPace(now time.Time, percent int) fakeRun {
-	left := time.Duration(float64(r.end.Sub(now)) * float64(r.pace) / 100)
-	r.pace = percent
-	r.end = now.Add(time.Hour)
-	if percent > 0 {
-		r.end = now.Add(left * 100 / time.Duration(percent))
-	}
-	return r
-}
-
-// tail is the tail latency of a run that serves, raised by what fills beside it
-// by an amount that changes within seconds.
-func (w *world) tail(x *fakeWorker, r fakeRun) time.Duration {
-	share := 0.5
-	swing := 1 + 0.5*math.Sin(w.Now().Sub(w.start).Seconds()*2)
-	for _, other := range x.runs {
-		if other.fills {
-			share += w.faults.disturb * swing * float64(other.pace) / 100
-		}
-	}
-	return time.Duration(share * float64(r.target))
-}
-
-// watchTails checks that no run that serves stays over its target because of those that fill.
-func (w *world) watchTails() {
-	for _, x := range w.workers {
-		w.expire(x)
-		for name, r := range x.runs {
-			if r.target == 0 || x.gone || x.dark || w.tail(x, r) <= r.target {
-				r.over = time.Time{}
-			} else if r.over.IsZero() {
-				r.over = w.Now()
-			}
-			x.runs[name] = r
-			if !r.over.IsZero() && w.Now().Sub(r.over) > harmTime {
-				w.t.Fatalf("%v on %s is over its target for %v", name, x.ID, w.Now().Sub(r.over))
-			}
-		}
-	}
-}
-
 // begin starts a run, and checks that it may.
 func (w *world) begin(x *fakeWorker, o messenger.Order) {
 	j, ok := w.register.Job(o.Task.Job)
