registrar: validate commands before they are proposed and make Apply total

Cause: the sum of task counts was taken before any count was bounded, so a job with two steps of 2^62 tasks summed to a negative number and was accepted; every controller then panicked in makeslice when it visited the job, and again after each restart. A reported success with run number 0, or of an occurrence that the job does not have, completed a task that had never run.

Change: Job, Worker, Config and Wave have Validate methods; the scheduler refuses what fails them with a log line. Apply ignores jobs of an impossible shape, unknown occurrences and runs without a number.

Ruled out: refusing in Apply what Validate refuses; replicas of the build before would then disagree about jobs that they accept.

--- a/registrar/command.go
+++ b/registrar/command.go
@@ -73,7 +73,7 @@
 const (
 	OK         Code = iota + 1
 	UnknownJob      // no such job
-	Invalid         // unused: no command returns it
+	Invalid         // the command has no effect
 )
 
 // Result is the outcome of a command and, for a batch, of each of its commands.
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -122,7 +122,7 @@
 		s.config = *c.Config
 	}
 	if c.Submit != nil {
-		s = s.withSubmit(at, *c.Submit)
+		s, result = s.withSubmit(at, *c.Submit)
 	}
 	if c.Cancel != "" {
 		s, result = s.withCancel(at, c.Cancel)
@@ -151,11 +151,15 @@
 	return s, result
 }
 
-// withSubmit accepts a job, unless a job with its ID is already known.
-func (s State) withSubmit(at time.Time, j Job) State {
+// withSubmit accepts a job, unless a job with its ID is already known. A job whose steps no code could visit is
+// invalid on every replica.
+func (s State) withSubmit(at time.Time, j Job) (State, Result) {
 	_, known := s.Job(j.ID)
 	if known {
-		return s // a repeated submission is the same job
+		return s, Result{Code: OK} // a repeated submission is the same job
+	}
+	if j.validateShape() != nil {
+		return s, Result{Code: Invalid}
 	}
 	j.Seq = s.nextSeq
 	j.AcceptedAt = at.UnixNano()
@@ -165,7 +169,7 @@
 	}
 	s.seqs = s.seqs.Set(j.ID, j.Seq)
 	s.active = s.active.With(j.Seq, j)
-	return s
+	return s, Result{Code: OK}
 }
 
 // withoutExpired removes the ended jobs that are past their retention.
@@ -220,7 +224,7 @@
 		return s
 	}
 	o, ok := j.Occurrence(start.Task.Occurrence)
-	if !ok || !o.hasTask(start.Task) {
+	if !ok || !j.hasOccurrence(start.Task) || !o.hasTask(start.Task) {
 		return s
 	}
 	t := o.Steps[start.Task.Step][start.Task.Index]
@@ -245,7 +249,7 @@
 		return s
 	}
 	o, ok := j.Occurrence(end.Task.Occurrence)
-	if !ok || !o.hasTask(end.Task) {
+	if !ok || end.Run < 1 || !j.hasOccurrence(end.Task) || !o.hasTask(end.Task) {
 		return s
 	}
 	t := o.Steps[end.Task.Step][end.Task.Index]
@@ -267,13 +271,13 @@
 	case end.Reason == EndFailed:
 		t.Failures++
 	}
-	failed := t.Failures >= j.Attempts && !step.LongRunning && t.Phase == Waiting
+	failed := end.Reason == EndFailed && t.Failures >= j.Attempts && !step.LongRunning
 	if failed {
 		t.Phase = Failed
 	}
 	j = j.withOccurrence(o.withTask(end.Task.Step, end.Task.Index, t))
 	j.Running--
-	if step.Gang && end.Reason == EndDone {
+	if step.Gang && end.Reason == EndDone && !step.LongRunning {
 		j = j.withGangDone(end.Task)
 	}
 	switch {
@@ -306,6 +310,11 @@
 	return j.withOccurrence(o)
 }
 
+// hasOccurrence reports whether the occurrence of a task is one of the job.
+func (j Job) hasOccurrence(task TaskID) bool {
+	return task.Occurrence >= 0 && task.Occurrence < j.Occurrences()
+}
+
 // hasTask reports whether the step and the index of a task are in range.
 func (o Occurrence) hasTask(task TaskID) bool {
 	return task.Step >= 0 && task.Step < len(o.Steps) && task.Index >= 0 && task.Index < len(o.Steps[task.Step])
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -7,12 +7,8 @@
 	"laburnumwind/registrar"
 )
 
-// Limits of a submitted job, and the retry hint to callers.
-const (
-	maxSteps   = 256
-	maxTasks   = 4096        // in all steps together
-	retryAfter = time.Second // sent to callers while this node cannot handle their calls
-)
+// retryAfter is sent to callers while this node cannot handle their calls.
+const retryAfter = time.Second
 
 // handleCall handles a call from a caller, a worker or an operator. It rejects the call
 // unless this node holds a valid leader lease.
@@ -33,7 +29,7 @@
 	case messenger.GetConfig:
 		t.getConfig(c.ID)
 	case messenger.StartWave:
-		t.propose(registrar.Command{Wave: &m.Wave}, continuation{callID: c.ID})
+		t.startWave(c.ID, m.Wave)
 	case messenger.GetWave:
 		w, ok := t.committed.Wave(m.ID)
 		if !ok {
@@ -50,10 +46,31 @@
 		t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallDone})
 		return
 	}
+	err := c.Validate()
+	if err != nil {
+		t.refuseInvalid(callID, messenger.Decision{Event: "configInvalid", Reason: err.Error()})
+		return
+	}
 	t.logDecision(messenger.Decision{Event: "configTaken"})
 	t.propose(registrar.Command{Config: &c}, continuation{callID: callID})
 }
 
+// startWave proposes a maintenance wave.
+func (t *transition) startWave(callID uint64, w registrar.Wave) {
+	err := w.Validate()
+	if err != nil {
+		t.refuseInvalid(callID, messenger.Decision{Event: "waveInvalid", Reason: err.Error()})
+		return
+	}
+	t.propose(registrar.Command{Wave: &w}, continuation{callID: callID})
+}
+
+// refuseInvalid answers a call that failed validation.
+func (t *transition) refuseInvalid(callID uint64, d messenger.Decision) {
+	t.logDecision(d)
+	t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallInvalid})
+}
+
 // getConfig answers with the raw configuration that the operator sent, or with CallNotReady if
 // there is none yet.
 func (t *transition) getConfig(callID uint64) {
@@ -102,8 +119,9 @@
 		t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallDone})
 		return
 	}
-	if !isValidJob(j) {
-		t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallInvalid})
+	err := j.Validate()
+	if err != nil {
+		t.refuseInvalid(callID, messenger.Decision{Event: "jobInvalid", Job: j.ID, Reason: err.Error()})
 		return
 	}
 	j.Queue, j.Pool, j.Attempts = q.Name, q.Pool, max(q.Attempts, 1)
@@ -111,25 +129,6 @@
 	t.propose(registrar.Command{Submit: &j}, continuation{callID: callID})
 }
 
-// isValidJob reports whether a job has between one and maxSteps steps of at least one task
-// each, at most maxTasks tasks in all, no negative demands, and dependencies on earlier
-// steps only.
-func isValidJob(j registrar.Job) bool {
-	tasks := 0
-	for i, s := range j.Steps {
-		tasks += s.Count
-		if s.Count < 1 || s.CPU < 0 || s.Memory < 0 || s.GPU < 0 {
-			return false
-		}
-		for _, dependency := range s.After {
-			if dependency < 0 || dependency >= i {
-				return false
-			}
-		}
-	}
-	return len(j.Steps) > 0 && len(j.Steps) <= maxSteps && tasks <= maxTasks
-}
-
 // getJob answers with the state of a job.
 func (t *transition) getJob(callID uint64, id string) {
 	j, ok := t.committed.Job(id)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -459,8 +459,11 @@
 // removes ended runs, acknowledges ends and sends orders.
 func (t *transition) handleCommitted(onCommit continuation, result registrar.Code) {
 	code := messenger.CallDone
-	if result == registrar.UnknownJob {
+	switch result {
+	case registrar.UnknownJob:
 		code = messenger.CallJobNotFound
+	case registrar.Invalid:
+		code = messenger.CallInvalid
 	}
 	t.answerCall(onCommit.callID, messenger.JobAnswer{Status: code})
 	for _, e := range onCommit.ends {
