--- a/messenger/job.go
+++ b/messenger/job.go
@@ -227,6 +227,7 @@
 	Clock       int64 // monotonic clock of the worker, in milliseconds; zero if unknown
 	Running     []RunReport
 	Ended       []EndReport // ended runs that are not acknowledged yet
+	Partial     bool        // some entries of the lists could not be read, so a run that is not listed may still be there
 }
 
 // MachineState is the state of a machine as reported by the provider.
@@ -234,7 +235,8 @@
 
 // The states of a machine.
 const (
-	MachineUp MachineState = iota + 1
+	MachineUnknown MachineState = iota // the entry of the machine could not be read
+	MachineUp
 	MachineMoving
 	MachineMaintenance
 	MachineDown
--- a/registrar/validate.go
+++ b/registrar/validate.go
@@ -81,10 +81,11 @@
 	case max(len(s.Requires), len(s.DataRack), len(s.Image)) > maxNameBytes:
 		return fmt.Errorf("label, rack or image of more than %d bytes: %w", maxNameBytes, ErrInvalid)
 	}
-	return Resources{CPU: s.CPU, Memory: s.Memory, GPU: s.GPU}.validate()
+	return Resources{CPU: s.CPU, Memory: s.Memory, GPU: s.GPU}.Validate()
 }
 
-func (r Resources) validate() error {
+// Validate returns an error if an amount is negative or so large that sums could overflow.
+func (r Resources) Validate() error {
 	for _, n := range []int{r.CPU, r.Memory, r.GPU} {
 		if n < 0 || n > maxAmount {
 			return fmt.Errorf("resource amount %d: %w", n, ErrInvalid)
@@ -116,7 +117,7 @@
 			return fmt.Errorf("worker label of %d bytes: %w", len(label), ErrInvalid)
 		}
 	}
-	return w.Capacity.validate()
+	return w.Capacity.Validate()
 }
 
 // isHeaderValue reports whether text can be sent as an HTTP header value.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -136,7 +136,13 @@
 	t.fleet.listedAt = l.SentAt
 	next := indexer.NewMap[string, machine]()
 	for _, listed := range l.Machines {
-		m, _ := t.fleet.machines.Get(listed.Name)
+		m, known := t.fleet.machines.Get(listed.Name)
+		if listed.State == messenger.MachineUnknown {
+			if known {
+				next = next.With(m.Name, m) // its entry could not be read: it stays as it was
+			}
+			continue
+		}
 		m = t.confirmDeparture(m, listed, l.SentAt)
 		if m.orderPending || l.SentAt.Before(m.orderedAt.Add(listGracePeriod)) {
 			next = next.With(m.Name, m) // the list may be older than the order
--- /dev/null
+++ b/scheduler/partial_test.go
@@ -0,0 +1,57 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumwind/indexer"
+	"laburnumwind/messenger"
+	"laburnumwind/registrar"
+)
+
+// TestUnlistedRun checks which reports of a worker prove that a run, which they do not list, is gone.
+func TestUnlistedRun(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	confirmed := run{task: registrar.TaskID{Job: "j"}, number: 1, committed: true, startConfirmedAt: now.Add(-time.Second)}
+	tests := map[string]struct {
+		report messenger.HoldReply
+		gone   bool
+	}{
+		"requested after the start was confirmed":  {report: messenger.HoldReply{Hold: messenger.Hold{At: now}}, gone: true},
+		"requested before the start was confirmed": {report: messenger.HoldReply{Hold: messenger.Hold{At: now.Add(-time.Minute)}}},
+		"with an entry that could not be read":     {report: messenger.HoldReply{Hold: messenger.Hold{At: now}, Partial: true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tr := &transition{now: now}
+			must.EqOp(t, tt.gone, tr.isProvablyGone(confirmed, tt.report))
+		})
+	}
+}
+
+// TestUnreadableMachine checks that a machine whose entry in the provider's list cannot be read keeps its last state.
+func TestUnreadableMachine(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	up := messenger.Machine{Name: "m-1", Pool: "a", State: messenger.MachineUp, Worker: "i-1"}
+	tests := map[string]struct {
+		listed messenger.Machine
+		state  messenger.MachineState
+		known  bool
+	}{
+		"readable":       {listed: messenger.Machine{Name: "m-1", State: messenger.MachineDown}, state: messenger.MachineDown, known: true},
+		"unreadable":     {listed: messenger.Machine{Name: "m-1"}, state: messenger.MachineUp, known: true},
+		"never readable": {listed: messenger.Machine{Name: "m-2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tr := &transition{State: State{fleet: newFleet(now), workers: indexer.NewMap[string, worker]()}, now: now}
+			tr.fleet = tr.fleet.withMachine(machine{Machine: up})
+			tr.handleMachineList(messenger.MachineList{OK: true, SentAt: now, Machines: []messenger.Machine{tt.listed}})
+			m, known := tr.fleet.machines.Get(tt.listed.Name)
+			must.EqOp(t, tt.known, known)
+			must.EqOp(t, tt.state, m.State)
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -307,7 +307,7 @@
 // earlier leader any report is sufficient, since the worker now rejects that leader's start
 // orders by their fencing token.
 func (t *transition) isProvablyGone(r run, m messenger.HoldReply) bool {
-	if !r.committed || r.endProposed {
+	if !r.committed || r.endProposed || m.Partial {
 		return false
 	}
 	for _, report := range m.Running {
