runner, assembler: an unexpected error costs one message, not the process

Cause: nothing stood between a panic in a stage, in a call to a worker or in the application of a replicated command and the end of the process. A replicated command that panics would have ended every controller, and again after each restart.

Change: a duty drops the message whose handling panics; its state stays as it was, since a step returns a new one. A tick that panics is repeated after 100 ms. 64 panics in a row are a failure of the stage and end the process. A command whose application panics changes nothing on every replica, and the others of its batch still count. Panics are logged with their stack and counted (panics, invariantViolations).

Ruled out: going on for ever: a leader that only panics would keep its lease and serve nobody.

--- a/assembler/group.go
+++ b/assembler/group.go
@@ -1,11 +1,13 @@
 package assembler
 
 import (
+	"fmt"
 	"time"
 
 	"laburnumwind/claimer"
 	"laburnumwind/keeper"
 	"laburnumwind/messenger"
+	"laburnumwind/recoverer"
 	"laburnumwind/replicator"
 )
 
@@ -99,3 +101,18 @@
 	}
 	return out
 }
+
+// applyOrSkip returns an apply function for which a command that panics changes nothing and has the result failed. The
+// same entry panics on every replica, also after a restart, so that ending the process would end all of them again and
+// again.
+func applyOrSkip[C, S, R any](apply func(S, time.Time, C) (S, R), failed R, report func(error)) func(S, time.Time, C) (S, R) {
+	return func(s S, at time.Time, c C) (S, R) {
+		next, result := s, failed
+		err := recoverer.Do(func() { next, result = apply(s, at, c) })
+		if err != nil {
+			report(fmt.Errorf("apply command: %w", err))
+			return s, failed
+		}
+		return next, result
+	}
+}
--- a/assembler/jobs.go
+++ b/assembler/jobs.go
@@ -46,7 +46,7 @@
 
 // jobsStage returns the stage that runs the node of the jobs group.
 func jobsStage(now time.Time, cfg JobsNodeConfig, stored JobsStoredState) Stage {
-	cfg.Jobs.Apply = registrar.State.Apply
+	cfg.Jobs.Apply = applyEach(applyOrSkip(registrar.State.Apply, registrar.Result{Code: registrar.Invalid}, cfg.OnViolation))
 	cfg.Jobs.SnapshotCost = registrar.State.SnapshotCost
 	g := &group[registrar.Command, registrar.State, registrar.Result]{
 		state: replicator.NewState(now, cfg.Jobs, stored),
@@ -84,3 +84,20 @@
 	}
 	return g.stage(messenger.Jobs)
 }
+
+// applyEach applies the commands of a batch one by one, so that one that is skipped does not take the others with it.
+func applyEach(apply func(registrar.State, time.Time, registrar.Command) (registrar.State, registrar.Result)) func(registrar.State, time.Time, registrar.Command) (registrar.State, registrar.Result) {
+	return func(s registrar.State, at time.Time, c registrar.Command) (registrar.State, registrar.Result) {
+		batch := c.Batch
+		c.Batch = nil
+		var codes []registrar.Code
+		for _, part := range batch {
+			var r registrar.Result
+			s, r = apply(s, at, part)
+			codes = append(codes, r.Code)
+		}
+		s, result := apply(s, at, c)
+		result.Batch = codes
+		return s, result
+	}
+}
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -142,12 +142,12 @@
 // declarationsStage returns the stage that runs the node of the declarations group. Each applied command is
 // followed by a check of the invariants of the declarations.
 func declarationsStage(now time.Time, cfg Config, stored DeclarationsStoredState) Stage {
-	cfg.Declarations.Apply = func(s keeper.State, at time.Time, c keeper.Command) (keeper.State, keeper.Result) {
+	cfg.Declarations.Apply = applyOrSkip(func(s keeper.State, at time.Time, c keeper.Command) (keeper.State, keeper.Result) {
 		next, r := s.Apply(at, c)
 		cfg.reportViolation(next.Check())
 		cfg.reportViolation(keeper.CheckTransition(s, next))
 		return next, r
-	}
+	}, keeper.Result{Code: keeper.Invalid, Reason: "the command cannot be applied"}, cfg.reportViolation)
 	last := messenger.DeclarationsView{}
 	lastApplied := uint64(0)
 	g := &group[keeper.Command, keeper.State, keeper.Result]{
@@ -180,6 +180,7 @@
 	if cfg.Claims.Apply == nil {
 		cfg.Claims.Apply = claimer.Claims.Apply
 	}
+	cfg.Claims.Apply = applyOrSkip(cfg.Claims.Apply, claimer.Result{Code: claimer.OutcomeUnknown}, cfg.reportViolation)
 	if cfg.Claims.SnapshotCost == nil {
 		cfg.Claims.SnapshotCost = func(c claimer.Claims) uint64 { return uint64(c.Len()) }
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -174,6 +174,7 @@
 	dispatcherConfig := c.cfg.Dispatcher
 	dispatcherConfig.Clock = c.cfg.Clock
 	dispatcherConfig.Reply = c.delegator.Reply
+	dispatcherConfig.OnPanic = func(err error) { c.reportPanic(messenger.Dispatcher, err) }
 	dispatcherConfig.OnDropped = func(string) { c.cfg.Reporter.Count("ordersDropped", 1) }
 	c.dispatcher = dispatcher.NewDispatcher(dispatcherConfig)
 	c.responder = responder.NewResponder(responder.Config{
@@ -224,10 +225,18 @@
 		RequestCapacity: requestRingSize,
 		ControlCapacity: controlRingSize,
 		OnRingFull:      func(messenger.Stage) { c.cfg.Reporter.Count("ringsFull", 1) },
+		OnPanic:         c.reportPanic,
+		OnFailure:       c.cfg.OnFailure,
 	})
 	close(c.started)
 }
 
+// reportPanic logs and counts a panic of a stage.
+func (c *Controller) reportPanic(stage messenger.Stage, err error) {
+	c.cfg.Reporter.Count("panics", 1)
+	c.cfg.Log.Error().Err(err).Int("stage", int(stage)).Msg("stage panicked")
+}
+
 // handleView reports a change of leadership to Config.OnLeadershipChange and passes the message to the responder.
 func (c *Controller) handleView(body any) {
 	v, ok := body.(messenger.JobsView)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"laburnumwind/buffer"
 	"laburnumwind/messenger"
+	"laburnumwind/recoverer"
 )
 
 const (
@@ -33,6 +34,7 @@
 	OrderMachine func(context.Context, messenger.MachineOrder) messenger.MachineReply
 	AskAdvisor   func(context.Context, messenger.AdviceRequest) messenger.AdviceReply
 	Reply        func(body any)    // receives the answers
+	OnPanic      func(err error)   // called when a call panics; its answer is missing, as if it had been lost
 	OnDropped    func(name string) // called with the worker, "advisor" or "provider" when a call to it is dropped because its ring is full
 }
 
@@ -74,10 +76,10 @@
 		cancel:   cancel,
 	}
 	for range maxProviderCalls {
-		d.wg.Go(func() { serve(ctx, d.provider, d.callProvider) })
+		d.wg.Go(func() { serve(ctx, d, d.provider, d.callProvider) })
 	}
 	for range maxAdvisorCalls {
-		d.wg.Go(func() { serve(ctx, d.advisor, d.callAdvisor) })
+		d.wg.Go(func() { serve(ctx, d, d.advisor, d.callAdvisor) })
 	}
 	return d
 }
@@ -136,9 +138,9 @@
 		q = &workerQueue{orders: buffer.NewRing[messenger.Order](orderRingSize), holds: buffer.NewRing[messenger.Hold](holdRingSize)}
 		d.queues[worker] = q
 		for range sendersPerWorker {
-			d.wg.Go(func() { serve(d.ctx, q.orders, d.sendOrder) })
+			d.wg.Go(func() { serve(d.ctx, d, q.orders, d.sendOrder) })
 		}
-		d.wg.Go(func() { serve(d.ctx, q.holds, d.sendHold) })
+		d.wg.Go(func() { serve(d.ctx, d, q.holds, d.sendHold) })
 	}
 	q.lastUsed = now
 	return q
@@ -156,13 +158,16 @@
 }
 
 // serve makes the calls of a ring one after the other until the ring is closed or ctx ends.
-func serve[T any](ctx context.Context, ring *buffer.Ring[T], call func(context.Context, T)) {
+func serve[T any](ctx context.Context, d *Dispatcher, ring *buffer.Ring[T], call func(context.Context, T)) {
 	for {
 		item, err := ring.Take(ctx)
 		if err != nil {
 			return
 		}
-		call(ctx, item)
+		err = recoverer.Do(func() { call(ctx, item) })
+		if err != nil {
+			d.cfg.OnPanic(err)
+		}
 	}
 }
 
--- a/runner/duty.go
+++ b/runner/duty.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"laburnumwind/buffer"
+	"laburnumwind/recoverer"
 )
 
 // Config configures a Duty.
@@ -17,8 +19,19 @@
 	Tick            func(now time.Time)            // handles a tick; not called if WakeAt is nil
 	WakeAt          func(now time.Time) time.Time  // returns when the next tick is due in the current state; nil disables ticks
 	Clock           func() time.Time               // returns the current time
+	OnPanic         func(err error)                // called when Handle or Tick panics; the message is dropped
+	OnFailure       func(err error)                // called when maxPanics calls of Handle or Tick in a row panic
 }
 
+const (
+	// maxPanics is the number of panics in a row after which a duty reports a failure: its state, not a single
+	// message, is the cause.
+	maxPanics = 64
+	// tickDelayAfterPanic is the wait before the next tick after a tick that panicked. The state is as it was before,
+	// so the tick would be due again at once.
+	tickDelayAfterPanic = 100 * time.Millisecond
+)
+
 // Duty is a goroutine that handles the messages of its rings one at a time.
 // Queued control messages are handled before requests.
 type Duty[T any] struct {
@@ -27,6 +40,7 @@
 
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	panics  int // number of calls in a row that panicked; used by the goroutine only
 }
 
 // NewDuty returns a duty with a running goroutine. Call Stop to end it.
@@ -43,21 +57,21 @@
 		for {
 			select {
 			case <-timer.ticks(): // checked first, so that a busy ring does not delay ticks indefinitely
-				cfg.tick(timer)
+				d.tick(cfg, timer)
 			default:
 			}
 			message, ok := d.Control.TryTake()
 			if ok {
-				cfg.handle(timer, message)
+				d.handle(cfg, timer, message)
 				continue
 			}
 			select {
 			case message = <-d.Control.Out():
-				cfg.handle(timer, message)
+				d.handle(cfg, timer, message)
 			case message = <-d.Requests.Out():
-				cfg.handle(timer, message)
+				d.handle(cfg, timer, message)
 			case <-timer.ticks():
-				cfg.tick(timer)
+				d.tick(cfg, timer)
 			case <-ctx.Done():
 				return
 			}
@@ -67,17 +81,35 @@
 }
 
 // handle passes a message to Handle and resets the timer if the next tick is now due earlier.
-func (cfg Config[T]) handle(timer *tickTimer, message T) {
+func (d *Duty[T]) handle(cfg Config[T], timer *tickTimer, message T) {
 	now := cfg.Clock()
-	cfg.Handle(now, message)
+	d.guard(cfg, func() { cfg.Handle(now, message) })
 	timer.advance(now)
 }
 
 // tick calls Tick and sets the timer for the next tick.
-func (cfg Config[T]) tick(timer *tickTimer) {
+func (d *Duty[T]) tick(cfg Config[T], timer *tickTimer) {
 	now := cfg.Clock()
-	cfg.Tick(now)
-	timer.scheduleNext(now)
+	if d.guard(cfg, func() { cfg.Tick(now) }) {
+		timer.scheduleNext(now)
+		return
+	}
+	timer.set(now, now.Add(tickDelayAfterPanic))
+}
+
+// guard calls f and returns false if f panicked.
+func (d *Duty[T]) guard(cfg Config[T], f func()) bool {
+	err := recoverer.Do(f)
+	if err == nil {
+		d.panics = 0
+		return true
+	}
+	d.panics++
+	cfg.OnPanic(err)
+	if d.panics == maxPanics {
+		cfg.OnFailure(fmt.Errorf("%d calls in a row panicked: %w", maxPanics, err))
+	}
+	return false
 }
 
 // Stop ends the goroutine, waits for it and closes the rings. Queued messages are dropped.
--- a/runner/line.go
+++ b/runner/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"laburnumwind/assembler"
@@ -16,6 +17,9 @@
 	RequestCapacity int                      // capacity of the ring for new requests at the admitter and the scheduler, in messages
 	ControlCapacity int                      // capacity of each stage's ring for all other messages
 	OnRingFull      func(to messenger.Stage) // called when a message has to wait because the control ring of its stage is full
+
+	OnPanic   func(stage messenger.Stage, err error) // called when a stage panics; its message is dropped and its state stays as it was
+	OnFailure func(err error)                        // called when a stage panics again and again
 }
 
 // Pipeline runs each stage of a node on a goroutine of its own.
@@ -42,6 +46,8 @@
 			Handle:          func(now time.Time, body any) { emit(stage.Step(now, body)) },
 			Tick:            func(now time.Time) { emit(stage.Step(now, messenger.Tick{})) },
 			Clock:           cfg.Clock,
+			OnPanic:         func(err error) { cfg.OnPanic(stage.Name, err) },
+			OnFailure:       func(err error) { cfg.OnFailure(fmt.Errorf("stage %d: %w", stage.Name, err)) },
 		})
 	}
 	close(started)
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"laburnumwind/assembler"
 	"laburnumwind/authenticator"
 	"laburnumwind/claimer"
+	"laburnumwind/connector"
 	"laburnumwind/courier"
 	"laburnumwind/forwarder"
 	"laburnumwind/loader"
@@ -84,20 +85,12 @@
 	peers     *authenticator.Authenticator
 }
 
-// steadyClock returns a clock that ignores adjustments of the system time, on which
-// leases and deadlines must not depend: it adds the monotonic time since the call to
-// the wall time of the call.
-func steadyClock() func() time.Time {
-	start := time.Now()
-	return func() time.Time { return start.Add(time.Since(start)) }
-}
-
 // NewServer creates and starts an entry instance. It returns an error if a token,
 // the data folder, a certificate or a listener can't be opened.
 func NewServer(cfg Config) (*Server, error) {
 	s := &Server{
 		cfg:      cfg,
-		clock:    steadyClock(),
+		clock:    connector.BootClock(),
 		started:  make(chan struct{}),
 		runID:    fmt.Sprintf("%s-%x", cfg.Settings.Name, rand.Uint64()),
 		reporter: reporter.NewReporter(reporter.Config{Log: cfg.Log, SampleEvery: cfg.Settings.Log.SampleEvery}),
@@ -302,10 +295,18 @@
 		RequestCapacity: settings.Limits.InFlight,
 		ControlCapacity: max(settings.Limits.InFlight*controlMessagesPerRequest, minControlCapacity),
 		OnRingFull:      func(messenger.Stage) { s.reporter.Count("ringsFull", 1) },
+		OnPanic:         s.reportPanic,
+		OnFailure:       s.cfg.OnFailure,
 	})
 	close(s.started)
 }
 
+// reportPanic logs and counts a panic of a stage.
+func (s *Server) reportPanic(stage messenger.Stage, err error) {
+	s.reporter.Count("panics", 1)
+	s.cfg.Log.Error().Err(err).Int("stage", int(stage)).Msg("stage panicked")
+}
+
 func (s *Server) nodeConfig() assembler.Config {
 	settings := s.cfg.Settings
 	seed := rand.Uint64()
