connector, registrar: no order leaves on a permission that has ended; a departed worker stays departed

Cause: the leader's lease was compared with the clock before the request waited for a connection; a process that was paused there sent the order, the renewal or the move of a machine after its lease had ended. A heartbeat that arrived after its worker had announced its end and was removed brought the worker back, also after a change of leader.

Change: a connection of the controllers' client compares the clock with the permission of the request at the write itself (connector.WithNotAfter); nothing is sent then, and the order counts as not sent. A departure is replicated with its incarnation and remembered for an hour; heartbeats of it and of earlier ones change nothing. The remaining time of a delegated call is taken when its batch is sent.

Ruled out: the check in the body of the request: net/http then sends the header in a packet of its own. Remembering workers that were removed for their silence: they may come back.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -17,6 +17,8 @@
 	UnackedTimeout time.Duration // a connection is closed if data stays unacknowledged this long
 	IdleTimeout    time.Duration // an idle connection is closed after this time
 	MaxIdlePerHost int           // maximum number of idle connections kept to one host
+
+	Clock func() time.Time // the clock of WithNotAfter; nil: requests have no such limit
 }
 
 const (
@@ -35,8 +37,12 @@
 		},
 		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, cfg.UnackedTimeout) },
 	}
+	dial := dialFunc(dialer.DialContext)
+	if cfg.Clock != nil {
+		dial = withPermissions(dial, cfg.Clock)
+	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: cfg.MaxIdlePerHost,
 		IdleConnTimeout:     cfg.IdleTimeout,
 		DisableCompression:  true,
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -31,10 +31,21 @@
 	HoldReply     *messenger.HoldReply     `cbor:"4,keyasint,omitempty"`
 	AdviceRequest *messenger.AdviceRequest `cbor:"7,keyasint,omitempty"`
 	AdviceReply   *messenger.AdviceReply   `cbor:"8,keyasint,omitempty"`
-	Remaining     time.Duration            `cbor:"5,keyasint,omitempty"` // time until NotAfter when the item was enqueued
+	Remaining     time.Duration            `cbor:"5,keyasint,omitempty"` // time until NotAfter when the batch with the item is sent
 	IssuedAt      int64                    `cbor:"6,keyasint,omitempty"` // time at which the leader issued the call, on the leader's clock, in Unix nanoseconds
 }
 
+// sentAt returns an item as it is sent at now: a call has the time left until its NotAfter.
+func (i item) sentAt(now time.Time) item {
+	switch {
+	case i.Order != nil:
+		i.Remaining = i.Order.NotAfter.Sub(now)
+	case i.Hold != nil:
+		i.Remaining = i.Hold.NotAfter.Sub(now)
+	}
+	return i
+}
+
 // Config describes a delegator.
 type Config struct {
 	Name        string // name of this instance, to which other instances return answers
@@ -73,18 +84,17 @@
 // Put passes a call to the instance that its Delegate field names, or makes the call from this
 // instance if the field is empty.
 func (d *Delegator) Put(body any) {
-	now := d.cfg.Clock()
 	switch m := body.(type) {
 	case messenger.Order:
 		if m.Delegate != "" {
 			m.Origin = d.cfg.Name
-			d.enqueue(m.Delegate, item{Order: &m, Remaining: m.NotAfter.Sub(now), IssuedAt: m.At.UnixNano()})
+			d.enqueue(m.Delegate, item{Order: &m, IssuedAt: m.At.UnixNano()})
 			return
 		}
 	case messenger.Hold:
 		if m.Delegate != "" {
 			m.Origin = d.cfg.Name
-			d.enqueue(m.Delegate, item{Hold: &m, Remaining: m.NotAfter.Sub(now), IssuedAt: m.At.UnixNano()})
+			d.enqueue(m.Delegate, item{Hold: &m, IssuedAt: m.At.UnixNano()})
 			return
 		}
 	case messenger.AdviceRequest:
@@ -204,9 +214,10 @@
 			return
 		}
 		var orders, replies []item
+		now := d.cfg.Clock()
 		for next, ok := first, true; ok; next, ok = ring.TryTake() {
 			if next.Order != nil || next.Hold != nil || next.AdviceRequest != nil {
-				orders = append(orders, next)
+				orders = append(orders, next.sentAt(now))
 			} else {
 				replies = append(replies, next)
 			}
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -110,3 +110,20 @@
 	must.EqOp(t, "x", reply.Permits[0].Ticket)
 	must.EqOp(t, 1, reply.Request.Step)
 }
+
+// TestRemainingTime checks that the time that a call waits at the leader counts against its permission.
+func TestRemainingTime(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tests := map[string]struct {
+		item      item
+		remaining time.Duration
+	}{
+		"order":         {item: item{Order: &messenger.Order{NotAfter: now.Add(300 * time.Millisecond)}}, remaining: 300 * time.Millisecond},
+		"expired order": {item: item{Order: &messenger.Order{NotAfter: now.Add(-time.Second)}}, remaining: -time.Second},
+		"hold":          {item: item{Hold: &messenger.Hold{NotAfter: now.Add(time.Second)}}, remaining: time.Second},
+		"answer":        {item: item{OrderReply: &messenger.OrderReply{}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { must.EqOp(t, tt.remaining, tt.item.sentAt(now).Remaining) })
+	}
+}
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -63,9 +63,18 @@
 	Wave            *Wave                `cbor:"8,keyasint,omitempty"`
 	Maintenance     []MachineMaintenance `cbor:"9,keyasint,omitempty"`
 	Batch           []Command            `cbor:"11,keyasint,omitempty"` // commands in the order in which they are applied
+	Departures      []Departure          `cbor:"12,keyasint,omitempty"` // workers that announced that they end; RemovedWorkers lists them too
 	OrderedMachines []string             `cbor:"10,keyasint,omitempty"` // machines for which an order is sent to the provider once the command is committed
 }
 
+// Departure records that a worker announced its end. A heartbeat of that incarnation that arrives later, for example
+// because a partition held it up, does not bring the worker back.
+type Departure struct {
+	Worker      string `cbor:"1,keyasint,omitempty"`
+	Incarnation int64  `cbor:"2,keyasint,omitempty"`
+	At          int64  `cbor:"3,keyasint,omitempty"` // Unix nanoseconds; set when the command is applied
+}
+
 // Code is the outcome of a command.
 type Code uint8
 
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -13,6 +13,10 @@
 // to 120 s after the end.
 const Retention = 150 * time.Second
 
+// departureRetention is the time for which the departure of a worker is remembered. A partition between regions can
+// hold up a heartbeat for an hour.
+const departureRetention = time.Hour
+
 // pruneInterval is the number of accepted jobs after which ended jobs past their retention are
 // removed. The removal visits all ended jobs, so it does not run for every job.
 const pruneInterval = 64
@@ -25,7 +29,8 @@
 	seqs       *immutable.Map[string, uint64] // Seq of each active job by ID
 	workers    *immutable.SortedMap[string, Worker]
 	waves      *immutable.SortedMap[int64, Wave]
-	lastOrders *immutable.Map[string, int64] // time of the last order to the provider for each machine, Unix nanoseconds
+	lastOrders *immutable.Map[string, int64]     // time of the last order to the provider for each machine, Unix nanoseconds
+	departures *immutable.Map[string, Departure] // by worker
 	nextSeq    uint64
 }
 
@@ -38,6 +43,7 @@
 		workers:    immutable.NewSortedMap[string, Worker](nil),
 		waves:      immutable.NewSortedMap[int64, Wave](nil),
 		lastOrders: immutable.NewMap[string, int64](nil),
+		departures: immutable.NewMap[string, Departure](nil),
 		nextSeq:    1,
 	}
 }
@@ -69,6 +75,12 @@
 // Worker returns the worker with the given ID, or false if there is none.
 func (s State) Worker(id string) (Worker, bool) { return s.workers.Get(id) }
 
+// HasDeparted reports whether a worker announced the end of an incarnation, or of a later one.
+func (s State) HasDeparted(worker string, incarnation int64) bool {
+	d, ok := s.departures.Get(worker)
+	return ok && incarnation <= d.Incarnation
+}
+
 // EachWorker calls visit with every worker in the order of IDs.
 func (s State) EachWorker(visit func(Worker)) {
 	for it := s.workers.Iterator(); !it.Done(); {
@@ -139,6 +151,9 @@
 	for _, id := range c.RemovedWorkers {
 		s.workers = s.workers.Delete(id)
 	}
+	for _, d := range c.Departures {
+		s = s.withDeparture(at, d)
+	}
 	if c.Wave != nil {
 		s = s.withWave(at, *c.Wave)
 	}
@@ -323,7 +338,7 @@
 // withWorker adds or replaces a worker, and ignores the report of an earlier incarnation.
 func (s State) withWorker(w Worker) State {
 	current, ok := s.workers.Get(w.ID)
-	if ok && current.Incarnation > w.Incarnation {
+	if (ok && current.Incarnation > w.Incarnation) || s.HasDeparted(w.ID, w.Incarnation) {
 		return s
 	}
 	if ok && current.Incarnation == w.Incarnation && current.Draining {
@@ -333,6 +348,24 @@
 	return s
 }
 
+// withDeparture records the departure of a worker and forgets those that are past their retention.
+func (s State) withDeparture(at time.Time, d Departure) State {
+	before := at.Add(-departureRetention).UnixNano()
+	var expired []string
+	for it := s.departures.Iterator(); !it.Done(); {
+		id, old, _ := it.Next()
+		if old.At < before {
+			expired = append(expired, id)
+		}
+	}
+	for _, id := range expired {
+		s.departures = s.departures.Delete(id)
+	}
+	d.At = at.UnixNano()
+	s.departures = s.departures.Set(d.Worker, d)
+	return s
+}
+
 // withWave adds a wave that is not known yet. Its deadline, which counts from the acceptance of
 // the command, becomes a point in time.
 func (s State) withWave(at time.Time, w Wave) State {
@@ -372,6 +405,7 @@
 	NextSeq uint64   `cbor:"6,keyasint,omitempty"`
 
 	LastOrders map[string]int64 `cbor:"7,keyasint,omitempty"`
+	Departures []Departure      `cbor:"8,keyasint,omitempty"`
 }
 
 // Snapshot returns a snapshot of the state.
@@ -389,6 +423,10 @@
 		m, at, _ := it.Next()
 		snapshot.LastOrders[m] = at
 	}
+	for it := s.departures.Iterator(); !it.Done(); {
+		_, d, _ := it.Next()
+		snapshot.Departures = append(snapshot.Departures, d)
+	}
 	return snapshot
 }
 
@@ -412,6 +450,9 @@
 	for m, at := range snapshot.LastOrders {
 		s.lastOrders = s.lastOrders.Set(m, at)
 	}
+	for _, d := range snapshot.Departures {
+		s.departures = s.departures.Set(d.Worker, d)
+	}
 	return s
 }
 
--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -112,3 +112,36 @@
 		})
 	}
 }
+
+// TestDeparture checks that only a later incarnation brings back a worker that announced its end, also after a restart
+// from a snapshot, and that a worker that was only removed for its silence comes back as it was.
+func TestDeparture(t *testing.T) {
+	joined := Command{Workers: []Worker{{ID: "w", Incarnation: 5}}}
+	departed := Command{RemovedWorkers: []string{"w"}, Departures: []Departure{{Worker: "w", Incarnation: 5}}}
+	removed := Command{RemovedWorkers: []string{"w"}}
+	tests := map[string]struct {
+		commands []Command
+		after    time.Duration // between the second and the third command
+		known    bool
+	}{
+		"late heartbeat":                       {commands: []Command{joined, departed, joined}},
+		"late heartbeat of an earlier life":    {commands: []Command{joined, departed, {Workers: []Worker{{ID: "w", Incarnation: 4}}}}},
+		"heartbeat of the next life":           {commands: []Command{joined, departed, {Workers: []Worker{{ID: "w", Incarnation: 6}}}}, known: true},
+		"removed for its silence":              {commands: []Command{joined, removed, joined}, known: true},
+		"departure is forgotten after a while": {commands: []Command{joined, departed, {Departures: []Departure{{Worker: "x", Incarnation: 1}}}, joined}, after: 2 * departureRetention, known: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, now := NewState(), startTime
+			for i, c := range tt.commands {
+				if i == 2 {
+					now = now.Add(tt.after)
+				}
+				s, _ = s.Apply(now, c)
+				s = FromSnapshot(s.Snapshot())
+			}
+			_, known := s.Worker("w")
+			must.EqOp(t, tt.known, known)
+		})
+	}
+}
--- a/registrar/validate_test.go
+++ b/registrar/validate_test.go
@@ -49,15 +49,15 @@
 		change func(*Worker)
 		valid  bool
 	}{
-		"plain":                        {change: func(*Worker) {}, valid: true},
-		"no ID":                        {change: func(w *Worker) { w.ID = "" }},
-		"ID with a line break":         {change: func(w *Worker) { w.ID = "i-1\r\nX: y" }},
-		"no address":                   {change: func(w *Worker) { w.Address = "" }},
-		"negative capacity":            {change: func(w *Worker) { w.Capacity.CPU = -1 }},
-		"capacity that overflows":      {change: func(w *Worker) { w.Capacity.Memory = math.MaxInt }},
-		"negative incarnation":         {change: func(w *Worker) { w.Incarnation = -1 }},
-		"incarnation out of range":     {change: func(w *Worker) { w.Incarnation = math.MaxInt64 }},
-		"long label":                   {change: func(w *Worker) { w.Labels = []string{string(make([]byte, maxNameBytes+1))} }},
+		"plain":                    {change: func(*Worker) {}, valid: true},
+		"no ID":                    {change: func(w *Worker) { w.ID = "" }},
+		"ID with a line break":     {change: func(w *Worker) { w.ID = "i-1\r\nX: y" }},
+		"no address":               {change: func(w *Worker) { w.Address = "" }},
+		"negative capacity":        {change: func(w *Worker) { w.Capacity.CPU = -1 }},
+		"capacity that overflows":  {change: func(w *Worker) { w.Capacity.Memory = math.MaxInt }},
+		"negative incarnation":     {change: func(w *Worker) { w.Incarnation = -1 }},
+		"incarnation out of range": {change: func(w *Worker) { w.Incarnation = math.MaxInt64 }},
+		"long label":               {change: func(w *Worker) { w.Labels = []string{string(make([]byte, maxNameBytes+1))} }},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -171,7 +171,7 @@
 // so until its process restarts.
 func (t *transition) handleHeartbeat(callID uint64, h messenger.Heartbeat) {
 	w, known := t.workers.Get(h.Worker.ID)
-	outdated := known && (h.Worker.Incarnation < w.Incarnation || (h.Worker.Incarnation == w.Incarnation && h.Seq <= w.heartbeatSeq))
+	outdated := t.committed.HasDeparted(h.Worker.ID, h.Worker.Incarnation) || known && (h.Worker.Incarnation < w.Incarnation || (h.Worker.Incarnation == w.Incarnation && h.Seq <= w.heartbeatSeq))
 	if outdated {
 		t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallDone})
 		return
@@ -222,7 +222,13 @@
 	if ok {
 		t.proposeAllEnds(w, "departed")
 	}
-	t.propose(registrar.Command{RemovedWorkers: []string{d.Worker}}, continuation{callID: callID})
+	c := registrar.Command{RemovedWorkers: []string{d.Worker}}
+	registered, known := t.committed.Worker(d.Worker)
+	incarnation := max(registered.Incarnation, w.Incarnation)
+	if (ok || known) && incarnation > 0 {
+		c.Departures = []registrar.Departure{{Worker: d.Worker, Incarnation: incarnation}}
+	}
+	t.propose(c, continuation{callID: callID})
 	if ok {
 		w, _ = t.workers.Get(d.Worker)
 		w.Draining, w.departed, w.reportRequestedAt = true, true, time.Time{}
