--- a/claimer/register.go
+++ b/claimer/register.go
@@ -205,7 +205,7 @@
 	}
 	switch existing.State {
 	case NotStarted:
-		return g.grant(now, c, existing)
+		return g.grant(existing.At, c, existing) // the retention counts from the first claim, in the order of the expiry queue
 	case Settled:
 		return g, Result{Code: AlreadySettled, Answer: existing.Answer, BodyKept: existing.BodyKept}
 	case Unknown:
@@ -295,9 +295,8 @@
 	return g
 }
 
-// expire expires the oldest claims that are past their retention. A key that is
-// claimed again keeps its position in the queue, so the claims behind it expire
-// only after it.
+// expire expires the oldest claims that are past their retention. The claims behind
+// a key whose time is ahead expire after it, at most MaxKeySkew late.
 func (g Claims) expire(now time.Time) Claims {
 	for range maxExpiredPerCommand {
 		if g.expiryQueue.Len() == 0 {
@@ -305,7 +304,7 @@
 		}
 		key := g.expiryQueue.Get(0)
 		c, ok := g.claims.Get(key)
-		if ok && now.Sub(c.At) <= Retention {
+		if ok && now.Sub(c.retainedFrom()) <= Retention {
 			return g
 		}
 		g.expiryQueue = g.expiryQueue.Slice(1, g.expiryQueue.Len())
@@ -314,6 +313,16 @@
 	return g
 }
 
+// retainedFrom returns the time from which the retention of a claim counts: its first claim or, if that is later,
+// the time in its key. The claim is kept as long as claimFirst accepts its key.
+func (c Claim) retainedFrom() time.Time {
+	keyTime, hasTime := KeyTime(c.Key)
+	if hasTime && keyTime.After(c.At) {
+		return keyTime
+	}
+	return c.At
+}
+
 // expireClaim deletes the claim of a key that contains a time, since claimFirst
 // refuses such a key once its time is past the retention. Any other key is kept as
 // a tombstone.
--- a/claimer/register_test.go
+++ b/claimer/register_test.go
@@ -55,7 +55,21 @@
 		"claim past its retention":           {steps: []step{{command: claimCommand("k", "d", "1")}, {command: settleCommand("k", "1", messenger.Answered)}, {after: Retention + time.Second, command: claimCommand("k", "d", "2")}}, want: KeyExpired},
 		"key with a time past its retention": {steps: []step{{after: Retention + time.Second, command: claimCommand(datedKey, "d", "1")}}, want: KeyExpired},
 		"key with a time too far ahead":      {steps: []step{{after: -MaxKeySkew - time.Second, command: claimCommand(datedKey, "d", "1")}}, want: KeyExpired},
-		"key with a recent time":             {steps: []step{{after: time.Minute, command: claimCommand(datedKey, "d", "1")}}, want: Granted, attempt: 1},
+		"key with a time ahead, past its retention": {
+			steps: []step{{after: -4 * time.Minute, command: claimCommand(datedKey, "d", "1")}, {after: Retention - 4*time.Minute + time.Second, command: claimCommand(datedKey, "d", "2")}},
+			want:  StillRunning,
+		},
+		"key behind one that was claimed again": {
+			steps: []step{
+				{command: claimCommand("front", "d", "1")},
+				{command: claimCommand("k", "d", "2")},
+				{after: time.Hour, command: settleCommand("front", "1", messenger.Refused)},
+				{after: Retention - time.Hour, command: claimCommand("front", "d", "3")},
+				{after: Retention + time.Hour, command: claimCommand("k", "d", "4")},
+			},
+			want: KeyExpired,
+		},
+		"key with a recent time": {steps: []step{{after: time.Minute, command: claimCommand(datedKey, "d", "1")}}, want: Granted, attempt: 1},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -63,7 +63,7 @@
 	case Return:
 		return s.returnLost(now, i)
 	case Quarantine:
-		return s.changeInstanceState(now, i.WithTarget(""), Quarantined)
+		return s.quarantine(now, i)
 	case Release:
 		return s.release(now, i)
 	case FailMaintenance:
--- a/keeper/state_test.go
+++ b/keeper/state_test.go
@@ -208,6 +208,46 @@
 	}
 }
 
+// TestWaveEnds checks that a wave ends once none of its instances is left to maintain.
+func TestWaveEnds(t *testing.T) {
+	tests := map[string]struct {
+		start    func(t *testing.T) State
+		commands func(s State) []Command
+		want     WaveState
+	}{
+		"no instances": {start: func(*testing.T) State { return NewState() }, want: WaveDone},
+		"all instances quarantined meanwhile": {
+			start: func(t *testing.T) State { return newFleet(t, Budget{MaxDown: 9, Window: time.Hour}) },
+			commands: func(s State) []Command {
+				var out []Command
+				for _, i := range s.Instances() {
+					out = append(out, Command{Kind: Quarantine, Instance: i})
+				}
+				return out
+			},
+			want: WaveDone,
+		},
+		"one instance quarantined": {
+			start:    func(t *testing.T) State { return newFleet(t, Budget{MaxDown: 9, Window: time.Hour}) },
+			commands: func(s State) []Command { return []Command{{Kind: Quarantine, Instance: s.Instances()[0]}} },
+			want:     WaveRunning,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, r := tc.start(t).Apply(start, Command{Kind: StartWave})
+			must.Eq(t, Accepted, r.Code)
+			if tc.commands != nil {
+				for _, c := range tc.commands(s) {
+					s, r = s.Apply(start, c)
+					must.Eq(t, Accepted, r.Code)
+				}
+			}
+			must.Eq(t, tc.want, s.Wave().State)
+		})
+	}
+}
+
 func TestWaveStopsAfterFailures(t *testing.T) {
 	s := newFleet(t, Budget{MaxDown: 9, Window: time.Hour})
 	s, r := s.Apply(start, Command{Kind: StartWave, MaxFailed: 1})
--- a/keeper/wave.go
+++ b/keeper/wave.go
@@ -21,9 +21,21 @@
 		total++
 	}
 	s.wave = Wave{ID: id, State: WaveRunning, Started: now, Total: total, MaxFailed: c.MaxFailed}
+	s = s.finishWaveIfDone(now)
 	return s, s.accept(Instance{})
 }
 
+// quarantine takes an instance out of service, and out of the wave that waits for it.
+func (s State) quarantine(now time.Time, i Instance) (State, Result) {
+	inWave := i.Wave != 0 && i.Wave == s.wave.ID && s.wave.State == WaveRunning
+	next, r := s.changeInstanceState(now, i.WithTarget("").WithWave(0), Quarantined)
+	if r.Code != Accepted || !inWave {
+		return next, r
+	}
+	next.wave.Total--
+	return next.finishWaveIfDone(now), r
+}
+
 func (s State) stopWave(now time.Time, c Command) (State, Result) {
 	if s.wave.State != WaveRunning || s.wave.ID != c.Wave {
 		return s, s.refuse(Conflict, fmt.Sprintf("wave %d is %s", s.wave.ID, s.wave.State))
--- a/messenger/job.go
+++ b/messenger/job.go
@@ -279,7 +279,8 @@
 	Order    MachineOrder
 	OK       bool   // the provider accepted the order
 	Refused  bool   // the order was not and will not be carried out
-	Reason   string // reason for a refusal, as the provider names it
+	Final    bool   // the provider would refuse the same order again
+	Reason   string // reason for a refusal
 	Received time.Time
 }
 
--- a/placer/jobs.go
+++ b/placer/jobs.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/benbjohnson/immutable"
+
+	"laburnumwind/messenger"
 )
 
 const (
@@ -13,10 +15,14 @@
 	maxTrackedRequests = 1024        // maximum number of requests in the history; bounds its memory
 )
 
-// requestRecord holds the failures of one request. Requests with the same digest, which
-// covers method, path and body, count as the same request.
+// requestKey identifies a request in the history. Equal requests of one customer to one service count as the same.
+func requestKey(r messenger.Request) string {
+	return r.Service + "\x00" + r.Customer + "\x00" + r.Digest
+}
+
+// requestRecord holds the failures of one request.
 type requestRecord struct {
-	digest      string
+	key         string
 	failedOn    []string  // endpoints on which it has failed
 	poisonUntil time.Time // the request is refused until this time
 }
@@ -25,52 +31,61 @@
 // first failure. The placer uses it to distinguish a poison request, which fails on
 // several endpoints, from an endpoint that fails.
 type failureHistory struct {
-	byDigest *immutable.Map[string, requestRecord]
-	order    *immutable.List[string] // digests, in the order of the first failure
+	byKey *immutable.Map[string, requestRecord]
+	order *immutable.List[string] // keys, in the order of the first failure
 }
 
 func newFailureHistory() failureHistory {
-	return failureHistory{byDigest: immutable.NewMap[string, requestRecord](nil), order: immutable.NewList[string]()}
+	return failureHistory{byKey: immutable.NewMap[string, requestRecord](nil), order: immutable.NewList[string]()}
 }
 
-// isPoison reports whether the request with this digest is to be refused now.
-func (f failureHistory) isPoison(now time.Time, digest string) bool {
-	record, ok := f.byDigest.Get(digest)
+// isPoison reports whether the request with this key is to be refused now.
+func (f failureHistory) isPoison(now time.Time, key string) bool {
+	record, ok := f.byKey.Get(key)
 	return ok && now.Before(record.poisonUntil)
 }
 
 // withFailure records a failure of a request on an endpoint. If it has now failed
 // on at least poisonThreshold endpoints, it counts as poison, and withFailure returns
-// all of them, so that the caller removes these failures from their health.
-// A repeated failure on the same endpoint has no effect.
-func (f failureHistory) withFailure(now time.Time, digest, instance string) (failureHistory, []string) {
-	record, ok := f.byDigest.Get(digest)
+// those whose failures the caller has not yet removed from their health. A repeated
+// failure on the same endpoint has no effect, unless the request has ceased to count
+// as poison meanwhile: then its failures count anew.
+func (f failureHistory) withFailure(now time.Time, key, instance string) (failureHistory, []string) {
+	record, ok := f.byKey.Get(key)
 	if !ok {
-		record = requestRecord{digest: digest}
-		f.order = f.order.Append(digest)
+		record = requestRecord{key: key}
+		f.order = f.order.Append(key)
+	}
+	if !record.poisonUntil.IsZero() && !now.Before(record.poisonUntil) {
+		record.failedOn, record.poisonUntil = nil, time.Time{}
 	}
 	if slices.Contains(record.failedOn, instance) {
 		return f, nil
 	}
 	record.failedOn = append(slices.Clone(record.failedOn), instance)
 	var cleared []string
-	if len(record.failedOn) >= poisonThreshold {
-		record.poisonUntil = now.Add(poisonTTL)
+	switch {
+	case len(record.failedOn) == poisonThreshold:
 		cleared = record.failedOn
+	case len(record.failedOn) > poisonThreshold:
+		cleared = []string{instance}
+	}
+	if cleared != nil {
+		record.poisonUntil = now.Add(poisonTTL)
 	}
-	f.byDigest = f.byDigest.Set(digest, record)
+	f.byKey = f.byKey.Set(key, record)
 	for f.order.Len() > maxTrackedRequests {
-		f.byDigest = f.byDigest.Delete(f.order.Get(0))
+		f.byKey = f.byKey.Delete(f.order.Get(0))
 		f.order = f.order.Slice(1, f.order.Len())
 	}
 	return f, cleared
 }
 
 // withSuccess clears the failures of a request, which then no longer counts as poison.
-func (f failureHistory) withSuccess(digest string) failureHistory {
-	_, ok := f.byDigest.Get(digest)
+func (f failureHistory) withSuccess(key string) failureHistory {
+	_, ok := f.byKey.Get(key)
 	if ok {
-		f.byDigest = f.byDigest.Set(digest, requestRecord{digest: digest})
+		f.byKey = f.byKey.Set(key, requestRecord{key: key})
 	}
 	return f
 }
--- a/placer/transition.go
+++ b/placer/transition.go
@@ -20,7 +20,7 @@
 // one that has failed on several endpoints, see poisonThreshold.
 func (t *transition) handleAdmitted(r messenger.Request) {
 	t.state.retryTokens = min(t.state.retryTokens+retryTokensPerRequest, maxRetryTokens)
-	if t.state.failures.isPoison(t.now, r.Digest) {
+	if t.state.failures.isPoison(t.now, requestKey(r)) {
 		t.refuse(r, messenger.PoisonRequest, messenger.StatusUnprocessableEntity)
 		return
 	}
@@ -143,7 +143,7 @@
 	t.finishAttempt(result, m.EndpointFailed)
 	r := result.Request
 	switch {
-	case t.state.failures.isPoison(t.now, r.Digest) && m.EndpointFailed:
+	case t.state.failures.isPoison(t.now, requestKey(r)) && m.EndpointFailed:
 		t.refuse(r, messenger.PoisonRequest, messenger.StatusUnprocessableEntity)
 	case r.UnansweredAttempts > maxUnansweredAttempts || r.Attempt > maxAttempts:
 		t.refuse(r, messenger.RetryBudgetExhausted, messenger.StatusServiceUnavailable)
@@ -196,11 +196,11 @@
 	e = e.withHealth(e.health.withResult(failed))
 	t.state = t.state.withEndpoint(e)
 	if !failed {
-		t.state.failures = t.state.failures.withSuccess(r.Digest)
+		t.state.failures = t.state.failures.withSuccess(requestKey(r))
 		return
 	}
 	var cleared []string
-	t.state.failures, cleared = t.state.failures.withFailure(t.now, r.Digest, e.endpoint.Instance)
+	t.state.failures, cleared = t.state.failures.withFailure(t.now, requestKey(r), e.endpoint.Instance)
 	for _, instance := range cleared {
 		other, ok := t.state.endpoints.Get(instance)
 		if ok {
--- a/planner/state_test.go
+++ b/planner/state_test.go
@@ -110,6 +110,25 @@
 			reports: all,
 			want:    map[string]keeper.Kind{"a": keeper.Drain, "c": keeper.Drain},
 		},
+		"wave goes on with another rack while the budget refuses the first instances": {
+			change: func(s *keeper.Snapshot) {
+				s.Wave = keeper.Wave{ID: 1, State: keeper.WaveRunning, Total: 8}
+				s.Declarations.Pools = []keeper.Pool{{Name: "p", Size: 9}}
+				s.Declarations.Services = append(s.Declarations.Services, keeper.Service{Name: "x", Pool: "p", Share: 0})
+				s.Instances = nil
+				for i, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+					rack := "r0"
+					if i >= 5 {
+						rack = "r1"
+					}
+					s.Instances = append(s.Instances, keeper.Instance{Name: name, Incarnation: 1, Rack: rack, State: keeper.Serving, Pool: "p", Epoch: 1, Since: start, Wave: 1})
+				}
+				s.Instances[5].State, s.Instances[5].Wave = keeper.Maintenance, 0
+				s.Declarations.Customers[0].Budget = keeper.Budget{MaxDown: 6, Window: time.Hour}
+			},
+			reports: reportsFrom(1, 1, false, "a", "b", "c", "d", "e", "f", "g", "h", "i"),
+			want:    map[string]keeper.Kind{"a": keeper.Drain},
+		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/planner/wave.go
+++ b/planner/wave.go
@@ -7,11 +7,6 @@
 	"laburnumwind/keeper"
 )
 
-// maxDrainTries is the maximum number of instances of a pool that are checked
-// against the disruption budgets in one planning round. It assumes that budgets
-// that refuse the first instances of waveCandidates refuse the rest too.
-const maxDrainTries = 3
-
 // proposeWave proposes to drain the next instances of a running wave, at most
 // one per pool and round, as far as the disruption budgets allow. It prefers racks
 // in which instances are already down, because the failure of such a rack takes
@@ -26,7 +21,7 @@
 	}
 	for _, pool := range t.pendingPools() {
 		candidates := t.waveCandidates(pool)
-		for _, i := range candidates[:min(len(candidates), maxDrainTries)] {
+		for _, i := range firstOfEachRack(candidates) {
 			if s.DrainRefusal(t.now, i) != "" {
 				continue
 			}
@@ -40,6 +35,20 @@
 	}
 }
 
+// firstOfEachRack returns the first instance of each rack, in their order. The budgets refuse the other instances of
+// a rack for the same reason as its first.
+func firstOfEachRack(candidates []keeper.Instance) []keeper.Instance {
+	seen := make(map[string]bool)
+	var out []keeper.Instance
+	for _, i := range candidates {
+		if !seen[i.Rack] {
+			seen[i.Rack] = true
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // anyDown reports whether an instance is down or has a recent proposal.
 func (t *transition) anyDown() bool {
 	for _, i := range t.instances {
--- a/recorder/store.go
+++ b/recorder/store.go
@@ -27,9 +27,10 @@
 
 // OpenStore opens the files of a group and returns the state on disk. If the group has
 // neither a log nor a snapshot, OpenStore returns the initial state and, if that has a
-// snapshot, writes it to disk. With hasDiskID set, it instead returns an error that wraps
-// ErrCorrupt, since a disk ID is written only after the logs on its disk. OpenStore also
-// returns such an error if a record of the log or the snapshot is corrupt.
+// snapshot, writes it to disk. With hasDiskID set, it returns an error that wraps ErrCorrupt
+// if there is no log, since a disk ID is written only after the logs on its disk: the term
+// and the vote of the node would be lost with the log. OpenStore also returns such an error
+// if a record of the log or the snapshot is corrupt.
 func OpenStore[C, S, R any](folder, group string, codec encoder.Codec[C, S, R], initial replicator.StoredState[C, S], hasDiskID bool) (*Store[C, S, R], replicator.StoredState[C, S], error) {
 	s := &Store[C, S, R]{folder: folder, group: group, codec: codec}
 	err := os.MkdirAll(folder, folderMode)
@@ -40,10 +41,10 @@
 	if err != nil {
 		return nil, initial, fmt.Errorf("load %s: %w", group, err)
 	}
-	if !found && hasDiskID {
+	if !found.log && hasDiskID {
 		return nil, initial, fmt.Errorf("%s is missing: %w", s.path("log"), ErrCorrupt)
 	}
-	if !found && stored.Snapshot.Index > 0 {
+	if !found.log && !found.snapshot && stored.Snapshot.Index > 0 {
 		err = s.rewrite(replicator.Write[C, S]{Term: stored.Term, Snapshot: &stored.Snapshot})
 		if err != nil {
 			return nil, initial, fmt.Errorf("write initial snapshot of %s: %w", group, err)
@@ -65,13 +66,16 @@
 	return filepath.Join(s.folder, s.group+"."+extension)
 }
 
+// foundFiles tells which files of a group exist.
+type foundFiles struct{ log, snapshot bool }
+
 // load reads the snapshot and the log, and truncates a torn write at the end of the log.
-// It reports whether the group has files.
-func (s *Store[C, S, R]) load(stored replicator.StoredState[C, S]) (replicator.StoredState[C, S], bool, error) {
-	found := false
+// It reports which files the group has.
+func (s *Store[C, S, R]) load(stored replicator.StoredState[C, S]) (replicator.StoredState[C, S], foundFiles, error) {
+	var found foundFiles
 	snapshot, err := os.ReadFile(s.path("snapshot"))
 	if err == nil {
-		found = true
+		found.snapshot = true
 		stored, err = s.loadSnapshot(stored, snapshot)
 	}
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -84,14 +88,15 @@
 	if err != nil {
 		return stored, found, fmt.Errorf("read log: %w", err)
 	}
+	found.log = true
 	payloads, validBytes, err := splitRecords(data)
 	if err != nil {
-		return stored, true, fmt.Errorf("%s at byte %d: %w", s.path("log"), validBytes, err)
+		return stored, found, fmt.Errorf("%s at byte %d: %w", s.path("log"), validBytes, err)
 	}
 	if validBytes < len(data) {
 		err = os.Truncate(s.path("log"), int64(validBytes))
 		if err != nil {
-			return stored, true, fmt.Errorf("truncate torn write: %w", err)
+			return stored, found, fmt.Errorf("truncate torn write: %w", err)
 		}
 	}
 	var decodeErr error
@@ -107,7 +112,7 @@
 			}
 		}
 	})
-	return stored, true, decodeErr
+	return stored, found, decodeErr
 }
 
 func (s *Store[C, S, R]) loadSnapshot(stored replicator.StoredState[C, S], data []byte) (replicator.StoredState[C, S], error) {
--- a/recorder/store_test.go
+++ b/recorder/store_test.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"encoding/binary"
 	"os"
 	"path/filepath"
 	"testing"
@@ -53,9 +54,13 @@
 			damage:  func(t *testing.T, log string) { edit(t, log, func(b []byte) []byte { b[len(b)-2] ^= 1; return b }) },
 			wantErr: ErrCorrupt,
 		},
-		"bit of an early record flipped": {
+		"bit of an early payload flipped": {
 			damage: func(t *testing.T, log string) {
-				edit(t, log, func(b []byte) []byte { b[headerBytes+4] ^= 1; return b })
+				edit(t, log, func(b []byte) []byte {
+					second := headerBytes + int(binary.LittleEndian.Uint32(b)) // the log begins with the record of the bootstrap
+					b[second+headerBytes+4] ^= 1
+					return b
+				})
 			},
 			wantErr: ErrCorrupt,
 		},
@@ -63,6 +68,10 @@
 			damage:  func(t *testing.T, log string) { edit(t, log, func(b []byte) []byte { b[1] ^= 0x40; return b }) },
 			wantErr: ErrCorrupt,
 		},
+		"log missing beside a disk ID and a snapshot": {
+			damage:  func(t *testing.T, log string) { must.NoError(t, os.Remove(log)) },
+			wantErr: ErrCorrupt,
+		},
 		"files missing, disk ID present": {
 			damage: func(t *testing.T, log string) {
 				must.NoError(t, os.Remove(log))
--- a/scheduler/balance.go
+++ b/scheduler/balance.go
@@ -174,21 +174,17 @@
 }
 
 // acquireMachine orders the move of a machine to the recipient, from the pool with the largest surplus
-// or, if no pool has any, from standby. It reports whether it did.
+// or, if no pool has any, from standby. If all idle machines of a pool were refused, it tries the next.
+// It reports whether it ordered one.
 func (t *transition) acquireMachine(pools []*poolView, recipient *poolView, demandOf func(*poolView) int) bool {
-	var donor *poolView
+	var donors []*poolView
 	for _, p := range pools {
-		if p == recipient || len(p.idle) == 0 || (!p.Standby && p.supply <= demandOf(p)) {
-			continue
-		}
-		if donor == nil || p.surplus(demandOf) > donor.surplus(demandOf) {
-			donor = p
+		if p != recipient && len(p.idle) > 0 && (p.Standby || p.supply > demandOf(p)) {
+			donors = append(donors, p)
 		}
 	}
-	if donor == nil {
-		return false
-	}
-	return t.moveMachine(donor, recipient.Name)
+	slices.SortStableFunc(donors, func(a, b *poolView) int { return b.surplus(demandOf) - a.surplus(demandOf) })
+	return slices.ContainsFunc(donors, func(donor *poolView) bool { return t.moveMachine(donor, recipient.Name) })
 }
 
 // surplus returns how many machines a pool can give away. Standby counts as 0, so that the surplus
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -159,8 +159,8 @@
 	t.fleet.machines = next
 }
 
-// handleMachineReply handles the provider's answer to an order. A move that was refused without a
-// reason is not ordered again while this node leads.
+// handleMachineReply handles the provider's answer to an order. A move that the provider would refuse
+// again is not ordered again while this node leads.
 func (t *transition) handleMachineReply(r messenger.MachineReply) {
 	if !t.fleet.leading || r.Order.Fence != t.term {
 		return
@@ -175,7 +175,7 @@
 	if r.OK {
 		m = t.applyAcceptedOrder(m, r)
 	}
-	if r.Refused && r.Reason == "" && r.Order.Wave == 0 {
+	if r.Final && r.Order.Wave == 0 {
 		t.fleet.refusedMoves = maps.Clone(t.fleet.refusedMoves)
 		if t.fleet.refusedMoves == nil {
 			t.fleet.refusedMoves = make(map[string]bool)
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -71,6 +71,7 @@
 	demands      []messenger.Demand                          // last demand reported by the admitter
 	isLeader     bool                                        // this node leads the declarations log, so its planner needs the reports
 	scannedAt    time.Time                                   // time of the last scan
+	gossipedUpTo string                                      // name of the last endpoint in the last gossip message with loads
 	gossipAt     time.Time                                   // time of the last gossip message with loads
 	fullGossipAt time.Time                                   // time of the last gossip message with the full state
 	available    []messenger.Endpoint                        // last sent to the placer and the admitter
--- a/tracker/transition.go
+++ b/tracker/transition.go
@@ -199,14 +199,13 @@
 
 // gossipLoads gossips up to MaxGossipReports endpoints that announce themselves
 // to this entry instance. If there are more, only those with a changed load are
-// included; otherwise all are, which also shows the other entry instances that
-// the endpoints are alive.
+// included, in turn, beginning after the last one of the previous message; otherwise
+// all are, which also shows the other entry instances that the endpoints are alive.
 func (t *transition) gossipLoads() {
 	var reports []messenger.EndpointReport
-	for it := t.state.endpoints.Iterator(); !it.Done(); {
-		_, e, _ := it.Next()
-		if !e.direct || len(reports) >= t.state.cfg.MaxGossipReports {
-			continue
+	for _, e := range t.directInTurn() {
+		if len(reports) >= t.state.cfg.MaxGossipReports {
+			break
 		}
 		if !e.loadChanged && t.state.directCount > t.state.cfg.MaxGossipReports {
 			continue
@@ -214,12 +213,30 @@
 		reports = append(reports, messenger.EndpointReport{Announcement: e.announcement, Age: t.now.Sub(e.announcedAt)})
 		e.loadChanged = false
 		t.state = t.state.withEndpoint(e)
+		t.state.gossipedUpTo = e.announcement.Endpoint.Instance
 	}
 	if len(reports) > 0 {
 		t.sendGossip(messenger.Gossip{Reports: reports})
 	}
 }
 
+// directInTurn returns the endpoints that announce themselves to this entry instance by name, beginning with the first
+// after gossipedUpTo.
+func (t *transition) directInTurn() []endpointState {
+	var after, upTo []endpointState
+	for it := t.state.endpoints.Iterator(); !it.Done(); {
+		name, e, _ := it.Next()
+		switch {
+		case !e.direct:
+		case name > t.state.gossipedUpTo:
+			after = append(after, e)
+		default:
+			upTo = append(upTo, e)
+		}
+	}
+	return append(after, upTo...)
+}
+
 // gossipDemands gossips the demand. It does not limit the rate, since the admitter
 // reports the demand only when it has changed or a periodic report is due.
 func (t *transition) gossipDemands(urgent bool) {
