--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -94,6 +94,9 @@
 		return
 	}
 	t.observeLeader(m)
+	if m.LeaseHeld && m.EchoedSentAt.After(s.leaderAckedAt) && s.ackPendingAt.IsZero() {
+		s.ackPendingAt, s.ackPendingTo = m.EchoedSentAt, m.Commit
+	}
 	term, ok := s.termAt(m.Index)
 	if m.Index < s.baseIndex {
 		t.replyAppend(m, true, s.commit) // the entry at m.Index is compacted and so committed; the leader resends any entries after s.commit
@@ -127,10 +130,6 @@
 	}
 	s.leader = m.From
 	s.leaderHeardAt = t.now
-	s.leaderSentAt = m.SentAt
-	if m.LeaseHeld && m.EchoedSentAt.After(s.leaderAckedAt) {
-		s.leaderAckedAt = m.EchoedSentAt
-	}
 	*s = s.withElectionTimer(t.now)
 }
 
--- a/replicator/state.go
+++ b/replicator/state.go
@@ -52,8 +52,9 @@
 	leader        string
 	leaderHeardAt time.Time // when the leader's latest message arrived, at first when the node started; on the leader, its last tick with a lease
 	electionAt    time.Time // when the election timeout expires
-	leaderSentAt  time.Time // leader's send time of its latest message
 	leaderAckedAt time.Time // own send time of the latest message that a leader with a lease is known to have received; the copy counts as fresh for FreshFor after that
+	ackPendingAt  time.Time // as leaderAckedAt, for a message whose commit index the node has not applied yet; zero: none
+	ackPendingTo  uint64    // that commit index
 	votes         []string  // nodes that granted their vote in this election or pre-vote
 	peers         []progress
 	resigning     bool      // the leader takes no proposals and waits for a voter that has the whole log
@@ -218,8 +219,8 @@
 
 // IsFresh reports whether the copy of the node counts as fresh. A leader must hold its
 // lease. Any other node must have sent, within FreshFor, a message that a leader with a
-// lease is known to have received. IsFresh does not check whether the node has applied
-// every entry that the leader had committed by then.
+// lease is known to have received, and must have applied every entry that the leader had
+// committed by then.
 func (s State[C, S, R]) IsFresh(now time.Time) bool {
 	if s.role == Leader {
 		return s.HoldsLease(now)
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -76,6 +76,7 @@
 	action(t)
 	t.advanceCommit()
 	t.apply()
+	t.confirmAck()
 	t.transferLeadership()
 	t.compact()
 	t.replicate()
@@ -340,6 +341,16 @@
 	}
 }
 
+// confirmAck makes an acknowledged message count for the freshness of the copy, once
+// the copy holds what the leader had committed by then.
+func (t *transition[C, S, R]) confirmAck() {
+	s := &t.state
+	if s.ackPendingAt.IsZero() || s.applied < s.ackPendingTo {
+		return
+	}
+	s.leaderAckedAt, s.ackPendingAt = s.ackPendingAt, time.Time{}
+}
+
 // deliverResult returns the result of a command to its proposer: to this node if it made
 // the proposal, otherwise in a message from the leader.
 func (t *transition[C, S, R]) deliverResult(e Entry[C], result R) {
