--- a/experimenter/caller.go
+++ b/experimenter/caller.go
@@ -51,15 +51,14 @@
 	}
 }
 
-// deliverReply records the first answer of a request and checks that the body of a complete
-// answer is "done " and the body of the request. It ignores later answers.
+// deliverReply records the answer of a request and checks that it is the only one, and that the body of a complete
+// answer is "done " and the body of the request.
 func (e *Entry) deliverReply(m messenger.Reply) {
 	c, ok := e.calls[m.ID]
 	if !ok {
 		return
 	}
 	cl := e.cluster
-	delete(e.calls, m.ID)
 	if c.Answered {
 		cl.reportViolation("request %d of %s was answered twice", m.ID, c.EntryRun)
 	}
--- a/experimenter/entry.go
+++ b/experimenter/entry.go
@@ -299,7 +299,7 @@
 	e.running = false
 	e.frozen = false
 	for _, c := range e.calls {
-		c.Disconnected = true
+		c.Disconnected = c.Disconnected || !c.Answered
 	}
 }
 
