scheduler: a step copies what it changes, not what lies beside it

Each change of a run copied all runs of its worker (300 bytes each), each message changed the tree of workers several times, each proposal copied the batch, each list of machines built a new tree of 540, and lists were requested 7 times a second since every accepted order asked for one at once, although a list within 300 ms need not show the order. Answers to delegated orders carried the payload of the job back.

Change: runs and batch are lists of pointers (indexer.List), changes of workers are collected in a step (indexer.Draft), a list of machines changes only the records that differ and is requested 300 ms after the one before. Answers to delegated orders carry no payload, checkpoint or ticket.

Ruled out: fewer holds: 1,800 a second are as many as ends of runs.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -113,6 +113,7 @@
 	switch m := body.(type) {
 	case messenger.OrderReply:
 		if m.Order.Origin != "" {
+			m.Order.Payload, m.Order.Checkpoint, m.Order.Ticket = "", "", "" // the instance that issued the order knows them
 			d.enqueue(m.Order.Origin, item{OrderReply: &m, IssuedAt: m.Order.At.UnixNano()})
 			return
 		}
--- a/messenger/job.go
+++ b/messenger/job.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"slices"
 	"time"
 
 	"laburnumwind/registrar"
@@ -253,6 +254,12 @@
 	Worker   string // ID of the worker on the machine
 }
 
+// Equal reports whether two machines have the same value in every field.
+func (m Machine) Equal(o Machine) bool {
+	return m.Name == o.Name && m.Pool == o.Pool && m.State == o.State && m.Zone == o.Zone && m.Worker == o.Worker &&
+		m.Capacity == o.Capacity && slices.Equal(m.Labels, o.Labels)
+}
+
 // ListMachines requests the list of all machines from the provider.
 type ListMachines struct{}
 
--- a/scheduler/balance.go
+++ b/scheduler/balance.go
@@ -114,11 +114,11 @@
 	case p.Standby:
 		p.idle = append(p.idle, m)
 	case !ok || w.failedCalls > 0:
-	case slices.ContainsFunc(w.runs, func(r run) bool { return r.longRunning }):
+	case w.runs.Contains(func(r run) bool { return r.longRunning }):
 		p.pinned++
-	case len(w.runs) == 0 && !t.fleet.cordoned[w.ID]:
+	case w.runs.Len() == 0 && !t.fleet.cordoned[w.ID]:
 		p.idle = append(p.idle, m)
-	case len(w.runs) > 0 && !t.fleet.cordoned[w.ID]:
+	case w.runs.Len() > 0 && !t.fleet.cordoned[w.ID]:
 		p.busy = append(p.busy, w)
 	}
 }
--- a/scheduler/donor_test.go
+++ b/scheduler/donor_test.go
@@ -30,7 +30,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			tr := &transition{State: State{fleet: newFleet(now), workers: indexer.NewMap[string, worker](), committed: registrar.NewState()}, now: now}
+			tr := State{fleet: newFleet(now), workers: indexer.NewMap[string, worker](), committed: registrar.NewState()}.begin(now)
 			idle := func(names ...string) []machine {
 				var out []machine
 				for _, name := range names {
@@ -51,11 +51,11 @@
 				reply.Order = messenger.MachineOrder{Machine: m, Pool: "short"}
 				tr.handleMachineReply(reply)
 			}
-			tr.batch = nil
+			tr.batch = indexer.List[queuedCommand]{}
 			ordered := tr.acquireMachine(pools, short, func(p *poolView) int { return p.onTimeDemand })
 			must.EqOp(t, tt.want != "", ordered)
 			if ordered {
-				must.EqOp(t, tt.want, tr.batch[0].onCommit.order.Machine)
+				must.EqOp(t, tt.want, tr.batch.At(0).onCommit.order.Machine)
 			}
 		})
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -15,6 +15,7 @@
 const (
 	listIntervalBusy     = 600 * time.Millisecond  // interval between list requests while a machine is not up or an order is unconfirmed
 	listIntervalIdle     = 1500 * time.Millisecond // interval between list requests otherwise
+	listIntervalOrdered  = 300 * time.Millisecond  // interval between list requests after an accepted order, which an earlier list may not show (listGracePeriod)
 	listMaxAge           = 6 * time.Second         // no order is based on an older list
 	listGracePeriod      = 300 * time.Millisecond  // a list requested this soon after an order may not show its effect
 	machineOrderInterval = time.Second             // minimum time between two orders for one machine
@@ -79,11 +80,12 @@
 // fleet is the leader's view of the provider's machines and of the demand for them.
 type fleet struct {
 	machines        indexer.Map[string, machine]
-	leading         bool                 // this node leads
-	pendingOrders   int                  // number of machines with an order that is proposed or in flight
-	listPending     bool                 // a list is requested and not yet received
-	listedAt        time.Time            // when the last received list was requested
-	listRequestedAt time.Time            // zero: the next list is due at once
+	leading         bool      // this node leads
+	pendingOrders   int       // number of machines with an order that is proposed or in flight
+	listPending     bool      // a list is requested and not yet received
+	listedAt        time.Time // when the last received list was requested
+	listRequestedAt time.Time
+	listWanted      bool                 // the provider accepted an order since the last list was requested
 	leadingSince    time.Time            // when this leader took over
 	demands         map[string]demand    // by pool
 	cordoned        map[string]bool      // workers that get no new runs, because their machine is to be moved or maintained
@@ -134,29 +136,43 @@
 		return
 	}
 	t.fleet.listedAt = l.SentAt
-	next := indexer.NewMap[string, machine]()
+	listedNames := make(map[string]bool, len(l.Machines))
 	for _, listed := range l.Machines {
 		m, known := t.fleet.machines.Get(listed.Name)
-		if listed.State == messenger.MachineUnknown {
-			if known {
-				next = next.With(m.Name, m) // its entry could not be read: it stays as it was
-			}
+		if listed.State == messenger.MachineUnknown { // its entry could not be read: it stays as it was
+			listedNames[listed.Name] = known
 			continue
 		}
-		m = t.confirmDeparture(m, listed, l.SentAt)
-		if m.orderPending || l.SentAt.Before(m.orderedAt.Add(listGracePeriod)) {
-			next = next.With(m.Name, m) // the list may be older than the order
-			continue
+		listedNames[listed.Name] = true
+		updated := t.confirmDeparture(m, listed, l.SentAt)
+		if !updated.orderPending && !l.SentAt.Before(updated.orderedAt.Add(listGracePeriod)) { // otherwise the list may be older than the order
+			updated.Machine = listed
+			updated.orderUnconfirmed = false
+			t.forgetMissing(listed.Name)
+		}
+		if !known || !updated.equal(m) {
+			t.fleet = t.fleet.withMachine(updated)
 		}
-		m.Machine = listed
-		m.orderUnconfirmed = false
-		if _, ok := t.fleet.missingSince[listed.Name]; ok {
-			t.fleet.missingSince = maps.Clone(t.fleet.missingSince)
-			delete(t.fleet.missingSince, listed.Name)
+	}
+	for name := range t.fleet.machines.All() {
+		if !listedNames[name] {
+			t.fleet.machines = t.fleet.machines.Without(name)
 		}
-		next = next.With(listed.Name, m)
 	}
-	t.fleet.machines = next
+}
+
+// equal reports whether two records of a machine have the same value in every field.
+func (m machine) equal(o machine) bool {
+	return m.Machine.Equal(o.Machine) && m.orderPending == o.orderPending && m.orderUnconfirmed == o.orderUnconfirmed &&
+		m.orderedAt.Equal(o.orderedAt) && m.departingWorker == o.departingWorker && m.maintenanceStartedAt.Equal(o.maintenanceStartedAt)
+}
+
+// forgetMissing records that a machine is listed.
+func (t *transition) forgetMissing(name string) {
+	if _, ok := t.fleet.missingSince[name]; ok {
+		t.fleet.missingSince = maps.Clone(t.fleet.missingSince)
+		delete(t.fleet.missingSince, name)
+	}
 }
 
 // handleMachineReply handles the provider's answer to an order. A move that the provider would refuse
@@ -202,7 +218,7 @@
 // machine's worker has left.
 func (t *transition) applyAcceptedOrder(m machine, r messenger.MachineReply) machine {
 	m.orderedAt, m.departingWorker = t.now, m.Worker
-	t.fleet.listRequestedAt = time.Time{}
+	t.fleet.listWanted = true
 	if r.Order.Wave == 0 {
 		m.State, m.Pool = messenger.MachineMoving, r.Order.Pool
 		return m
@@ -248,7 +264,11 @@
 			interval = listIntervalBusy
 		}
 	}
+	if t.fleet.listWanted {
+		interval = listIntervalOrdered
+	}
 	if !t.fleet.listPending && t.now.Sub(t.fleet.listRequestedAt) >= interval {
+		t.fleet.listWanted = false
 		t.fleet.listPending, t.fleet.listRequestedAt = true, t.now
 		t.Send(messenger.Provider, messenger.ListMachines{})
 	}
@@ -344,7 +364,7 @@
 		return 0
 	}
 	cost := 0
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		cost += 10
 		if r.longRunning {
 			cost += 1000
@@ -372,7 +392,7 @@
 			t.evictOne(w)
 			return
 		}
-		if slices.ContainsFunc(w.runs, func(r run) bool { return !r.longRunning }) {
+		if w.runs.Contains(func(r run) bool { return !r.longRunning }) {
 			return
 		}
 	}
@@ -405,7 +425,7 @@
 // isWithinDisruptionBudget reports whether all long-running tasks of a worker may be stopped now:
 // no step would have more unavailable tasks than its MaxUnavailable allows.
 func (t *transition) isWithinDisruptionBudget(w worker) bool {
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		if !r.longRunning {
 			continue
 		}
@@ -423,7 +443,7 @@
 // evictOne stops one long-running task of a worker, so that it starts elsewhere, if its step's
 // disruption budget allows it now.
 func (t *transition) evictOne(w worker) {
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		j, ok := t.committed.Job(r.task.Job)
 		if !ok || !r.longRunning || r.stopping || r.endProposed || !r.committed || j.Outcome != registrar.Active {
 			continue
@@ -440,7 +460,7 @@
 // one. If a task has no target, canRelocate records that the pool needs more machines.
 func (t *transition) canRelocate(w worker) bool {
 	hasTargets := true
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		j, ok := t.committed.Job(r.task.Job)
 		if r.longRunning && ok && j.Outcome == registrar.Active && !t.hasRelocationTarget(w, j.Steps[r.task.Step], r) {
 			hasTargets = false
@@ -478,7 +498,7 @@
 // longRunningResources returns the resources that the long-running tasks of a worker use.
 func (w worker) longRunningResources() registrar.Resources {
 	total := registrar.Resources{}
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		if r.longRunning {
 			total = total.Add(r.resources)
 		}
@@ -489,7 +509,7 @@
 // countStepRuns returns the number of a worker's runs that belong to the same step as a task.
 func (w worker) countStepRuns(task registrar.TaskID) int {
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		if r.task.Job == task.Job && r.task.Occurrence == task.Occurrence && r.task.Step == task.Step {
 			n++
 		}
@@ -511,7 +531,7 @@
 		if ok {
 			position = w.find(registrar.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: index})
 		}
-		serving := task.Phase == registrar.Running && position >= 0 && task.Worker != excluded && t.isServing(w, w.runs[position])
+		serving := task.Phase == registrar.Running && position >= 0 && task.Worker != excluded && t.isServing(w, w.runs.At(position))
 		if !serving {
 			unavailable++
 		}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -36,7 +36,7 @@
 			committed, _ := registrar.NewState().Apply(now, registrar.Command{Config: &config, Wave: &wave})
 			s := NewState(Config{MaxLease: maxLease}, 1)
 			s, _ = s.Step(now, messenger.JobsView{State: committed, IsLeader: true, LeaseEnd: now.Add(time.Hour), Term: 2})
-			s = s.WithWorker(tt.worker)
+			s.workers = s.workers.With(tt.worker.ID, tt.worker)
 			s.fleet = s.fleet.withMachine(machine{Machine: messenger.Machine{Name: "m-1", Pool: tt.pool, State: messenger.MachineUp, Worker: "i-1"}})
 			s.fleet.listedAt, s.nextTickAt, s.nextFleetCheckAt = now, now, now
 			s, _ = s.Step(now, messenger.Tick{})
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"laburnumwind/messenger"
@@ -51,7 +50,7 @@
 // reported tasks with a latency target. It returns false if there is no such task.
 func (w worker) maxTailRatio() (float64, bool) {
 	maxRatio, hasTarget := 0.0, false
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		if r.latencyTarget > 0 && r.reported && !r.stopping {
 			hasTarget = true
 			maxRatio = max(maxRatio, float64(r.tailLatencyMs)/float64(r.latencyTarget.Milliseconds()))
@@ -97,7 +96,7 @@
 	tailRatio, hasTarget := w.maxTailRatio()
 	w.paceAdjustedAt = t.now
 	t.setWorker(w)
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		if !r.bestEffort || !r.reported || r.stopping || r.endProposed || r.pace.orderPending {
 			continue
 		}
@@ -164,7 +163,7 @@
 // that is free, less a penalty for tasks with a latency target.
 func (w *availableWorker) scoreBestEffort() float64 {
 	score := float64(w.free.CPU-w.plannedBestEffortCPU) / float64(max(w.Capacity.CPU, 1))
-	if slices.ContainsFunc(w.runs, func(r run) bool { return r.latencyTarget > 0 }) {
+	if w.runs.Contains(func(r run) bool { return r.latencyTarget > 0 }) {
 		score -= weightInterference
 	}
 	return score
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -61,7 +61,7 @@
 			p.recordPending(onCommit.starts)
 		}
 	}
-	for _, q := range t.batch {
+	for _, q := range t.batch.All() {
 		p.recordPending(q.onCommit.starts)
 	}
 	candidates := make([]*candidate, 0, t.committed.ActiveJobs())
@@ -151,8 +151,8 @@
 			return
 		}
 		i := w.find(id)
-		if i >= 0 && w.runs[i].committed && !w.runs[i].stopping && !w.runs[i].endProposed {
-			t.stop(w, w.runs[i], "its job has ended")
+		if i >= 0 && w.runs.At(i).committed && !w.runs.At(i).stopping && !w.runs.At(i).endProposed {
+			t.stop(w, w.runs.At(i), "its job has ended")
 		}
 	})
 }
@@ -478,7 +478,7 @@
 	if step.LongRunning && w.maintenanceDue {
 		score -= weightMaintenanceDue
 	}
-	if step.LongRunning && !step.BestEffort && slices.ContainsFunc(w.runs, func(r run) bool { return r.longRunning }) {
+	if step.LongRunning && !step.BestEffort && w.runs.Contains(func(r run) bool { return r.longRunning }) {
 		score += weightColocation
 	}
 	if (step.DataRack != "" && w.Rack() == step.DataRack) || (rack != "" && w.Rack() == rack) {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -26,7 +26,7 @@
 		return
 	}
 	i := w.find(start.Task)
-	if i < 0 || w.runs[i].number != start.Run {
+	if i < 0 || w.runs.At(i).number != start.Run {
 		return
 	}
 	task, ok := t.task(start.Task)
@@ -34,7 +34,7 @@
 		t.setWorker(w.WithoutRun(start.Task, start.Run)) // the job ended in the meantime
 		return
 	}
-	r := w.runs[i]
+	r := w.runs.At(i)
 	r.committed = true
 	r.checkpoint = task.Checkpoint
 	t.setWorker(w.WithRun(r))
@@ -105,11 +105,11 @@
 		w.nextHoldAt = t.now // the worker gets no starts until it answers a hold
 	}
 	i := w.find(m.Order.Task)
-	if i < 0 || w.runs[i].number != m.Order.Run || m.Order.Fence != t.term {
+	if i < 0 || w.runs.At(i).number != m.Order.Run || m.Order.Fence != t.term {
 		t.setWorker(w)
 		return
 	}
-	r := w.runs[i]
+	r := w.runs.At(i)
 	if m.Order.Kind == messenger.ThrottleRun {
 		t.setWorker(w)
 		t.handlePaceReply(m, r)
@@ -188,7 +188,7 @@
 func (t *transition) proposeAllEnds(w worker, reason string) {
 	var ends []registrar.End
 	var pending []workerEnd
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		if r.endProposed || !r.committed {
 			continue
 		}
@@ -272,13 +272,12 @@
 // their progress, ends runs that are provably gone and stops stray ones.
 func (t *transition) reconcile(m messenger.HoldReply) {
 	w, _ := t.workers.Get(m.Hold.Worker)
-	runs := slices.Clone(w.runs)
-	for i, r := range runs {
+	for i, r := range w.runs.All() {
 		reportIndex := slices.IndexFunc(m.Running, func(report messenger.RunReport) bool { return report.Task == r.task && report.Run == r.number })
 		if reportIndex < 0 {
 			continue
 		}
-		report := m.Running[reportIndex]
+		report, before := m.Running[reportIndex], r
 		r.reported, r.progressPercent, r.tailLatencyMs = true, report.Percent, report.Measurement
 		if report.Checkpoint != "" {
 			r.checkpoint = report.Checkpoint
@@ -286,11 +285,12 @@
 		if r.startConfirmedAt.IsZero() {
 			r.startConfirmedAt = t.now
 		}
-		runs[i] = r
+		if r != before {
+			w.runs = w.runs.With(i, r)
+		}
 	}
-	w.runs = runs
 	t.setWorker(w)
-	for _, r := range runs {
+	for _, r := range w.runs.All() {
 		if t.isProvablyGone(r, m) {
 			t.logDecision(messenger.Decision{Event: "runNotListed", Job: r.task.Job, Run: r.number, Instance: w.ID})
 			t.proposeEnd(w.ID, r, registrar.EndLost)
@@ -328,7 +328,7 @@
 // stopStray stops a reported run that is not assigned to the worker.
 func (t *transition) stopStray(w worker, report messenger.RunReport) {
 	i := w.find(report.Task)
-	if i >= 0 && w.runs[i].number == report.Run {
+	if i >= 0 && w.runs.At(i).number == report.Run {
 		return
 	}
 	task, ok := t.task(report.Task)
@@ -352,13 +352,13 @@
 		}
 		lastEnd = max(lastEnd, e.Number)
 		i := w.find(e.Task)
-		if i < 0 || w.runs[i].number != e.Run {
+		if i < 0 || w.runs.At(i).number != e.Run {
 			if e.Reason == registrar.EndDone {
 				ends = append(ends, e.End) // the run was ended as lost; its result counts unless the task has started again
 			}
 			continue
 		}
-		r := w.runs[i]
+		r := w.runs.At(i)
 		r.endProposed = true
 		w = w.WithRun(r).withOutcome(t.now, r, e.Reason)
 		t.recordRunTime(r, e.Reason)
@@ -413,7 +413,7 @@
 		return
 	}
 	wait := holdWaitBusy
-	if len(w.runs) == 0 {
+	if w.runs.Len() == 0 {
 		wait = holdWaitIdle
 	}
 	_, hasTarget := w.maxTailRatio()
@@ -423,7 +423,7 @@
 	if wait > holdWaitStarting && w.hasStartingTask() {
 		wait = holdWaitStarting
 	}
-	if w.reportRequestedAt.IsZero() || slices.ContainsFunc(w.runs, func(r run) bool { return !r.stopConfirmedAt.IsZero() }) {
+	if w.reportRequestedAt.IsZero() || w.runs.Contains(func(r run) bool { return !r.stopConfirmedAt.IsZero() }) {
 		wait = 0 // the leader needs a report now, to start runs on the worker or to end stopped ones
 	}
 	deadline := int64(0)
@@ -440,7 +440,7 @@
 
 // hasStartingTask reports whether a long-running task on the worker is not ready yet.
 func (w worker) hasStartingTask() bool {
-	return slices.ContainsFunc(w.runs, func(r run) bool { return r.longRunning && !r.stopping && r.progressPercent < 100 })
+	return w.runs.Contains(func(r run) bool { return r.longRunning && !r.stopping && r.progressPercent < 100 })
 }
 
 // delegateFor returns the instance that makes the calls to a worker, or "" for the leader
@@ -468,15 +468,15 @@
 		}
 		t.sendHold(w)
 		w, _ = t.workers.Get(w.ID)
-		for _, r := range w.runs {
+		for _, r := range w.runs.All() {
 			t.checkRun(w.ID, r)
 		}
 		w, _ = t.workers.Get(w.ID)
 		silence := t.now.Sub(w.lastSeenAt)
-		if silence > staleAfter && t.now.After(w.leaseExpiresBy) && len(w.runs) > 0 {
+		if silence > staleAfter && t.now.After(w.leaseExpiresBy) && w.runs.Len() > 0 {
 			t.proposeAllEnds(w, "its lease has ended")
 		}
-		if (silence > removeWorkerAfter || w.departed) && len(w.runs) == 0 {
+		if (silence > removeWorkerAfter || w.departed) && w.runs.Len() == 0 {
 			removed = append(removed, w.ID)
 		}
 	}
@@ -484,7 +484,7 @@
 		return
 	}
 	for _, id := range removed {
-		t.workers = t.workers.Without(id)
+		t.workers.Delete(id)
 	}
 	t.propose(registrar.Command{RemovedWorkers: removed}, continuation{})
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -152,7 +152,7 @@
 	w.After(3*time.Second, func() { w.load([]string{"a"}, 1100, time.Hour, time.Hour) })
 	w.RunFor(7 * time.Second)
 	for b.Loop() {
-		t := &transition{State: w.state, now: w.Now()}
+		t := w.state.begin(w.Now())
 		t.place()
 	}
 	b.ReportMetric(float64(w.state.committed.ActiveJobs()), "jobs")
--- a/scheduler/slow.go
+++ b/scheduler/slow.go
@@ -24,7 +24,7 @@
 // jobs.
 func (w worker) speedRatio(reportedAt time.Time) (float64, bool) {
 	fastest := make(map[string]float64)
-	for _, r := range w.runs {
+	for _, r := range w.runs.All() {
 		s, ok := r.speedRatio(reportedAt)
 		if ok {
 			fastest[r.task.Job] = max(fastest[r.task.Job], s)
@@ -60,8 +60,8 @@
 	}
 	w.noStartsUntil, w.slowUntil = t.now.Add(slowWorkerPause), t.now.Add(slowWorkerPause)
 	t.setWorker(w)
-	t.logDecision(messenger.Decision{Event: "slowWorker", Instance: w.ID, Pool: w.Pool, Candidates: len(w.runs), Age: t.now.Sub(w.reportRequestedAt)})
-	for _, r := range w.runs {
+	t.logDecision(messenger.Decision{Event: "slowWorker", Instance: w.ID, Pool: w.Pool, Candidates: w.runs.Len(), Age: t.now.Sub(w.reportRequestedAt)})
+	for _, r := range w.runs.All() {
 		s, ok := r.speedRatio(w.reportRequestedAt)
 		if !ok || s >= t.cfg.MinSpeedRatio || r.stopping || r.endProposed || !r.committed {
 			continue
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"laburnumwind/indexer"
@@ -64,7 +63,7 @@
 	failRate               float64   // exponential moving average of failed runs, 0 to 1
 	paceAdjustedAt         time.Time // when adjustPace last reviewed the pace of its best-effort tasks
 
-	runs          []run
+	runs          indexer.List[run]
 	used          registrar.Resources
 	bestEffortCPU int // CPU demand of its best-effort tasks, in thousandths of a core
 	lateCPU       int // CPU demand of its late runs, in thousandths of a core
@@ -72,7 +71,7 @@
 
 // find returns the index of a task's run in w.runs, or -1.
 func (w worker) find(task registrar.TaskID) int {
-	return slices.IndexFunc(w.runs, func(r run) bool { return r.task == task })
+	return w.runs.Index(func(r run) bool { return r.task == task })
 }
 
 // WithRun returns the worker with r added. A run of the same task is replaced; it must have the same
@@ -80,11 +79,10 @@
 func (w worker) WithRun(r run) worker {
 	i := w.find(r.task)
 	if i < 0 {
-		w.runs = append(slices.Clip(w.runs), r)
+		w.runs = w.runs.Append(r)
 		return w.withUsage(r, 1)
 	}
-	w.runs = slices.Clone(w.runs)
-	w.runs[i] = r
+	w.runs = w.runs.With(i, r)
 	return w
 }
 
@@ -103,7 +101,7 @@
 
 // WithRuns returns the worker with runs added. None of their tasks may have a run on the worker already.
 func (w worker) WithRuns(runs []run) worker {
-	w.runs = slices.Concat(w.runs, runs)
+	w.runs = w.runs.Append(runs...)
 	for _, r := range runs {
 		w = w.withUsage(r, 1)
 	}
@@ -114,11 +112,11 @@
 // A run of the task with another number stays.
 func (w worker) WithoutRun(task registrar.TaskID, number int) worker {
 	i := w.find(task)
-	if i < 0 || w.runs[i].number != number {
+	if i < 0 || w.runs.At(i).number != number {
 		return w
 	}
-	w = w.withUsage(w.runs[i], -1)
-	w.runs = slices.Delete(slices.Clone(w.runs), i, i+1)
+	w = w.withUsage(w.runs.At(i), -1)
+	w.runs = w.runs.Without(i)
 	return w
 }
 
@@ -197,7 +195,7 @@
 
 	workers          indexer.Map[string, worker]
 	continuations    indexer.Map[uint64, []continuation] // by ID of the proposal
-	batch            []queuedCommand                     // commands for the next proposal
+	batch            indexer.List[queuedCommand]         // commands for the next proposal
 	lastBatchAt      time.Time
 	lastProposalID   uint64    // ID of the last proposal
 	dirty            bool      // something changed since the last placement pass
@@ -223,12 +221,6 @@
 	}
 }
 
-// WithWorker returns the state with w added. A worker of the same ID is replaced.
-func (s State) WithWorker(w worker) State {
-	s.workers = s.workers.With(w.ID, w)
-	return s
-}
-
 // holdsLeaderLease reports whether this node leads and its leader lease is valid at now.
 func (s State) holdsLeaderLease(now time.Time) bool { return s.leads && now.Before(s.leaseEnd) }
 
@@ -248,7 +240,7 @@
 	if s.dirty && s.lastPassAt.Add(s.passInterval()).Before(at) {
 		at = s.lastPassAt.Add(s.passInterval())
 	}
-	if len(s.batch) > 0 && s.lastBatchAt.Add(batchInterval).Before(at) {
+	if s.batch.Len() > 0 && s.lastBatchAt.Add(batchInterval).Before(at) {
 		at = s.lastBatchAt.Add(batchInterval)
 	}
 	return at
@@ -256,7 +248,7 @@
 
 // Step handles one message and returns the next state and the messages to send.
 func (s State) Step(now time.Time, body any) (State, []messenger.Message) {
-	t := &transition{State: s, now: now}
+	t := s.begin(now)
 	switch m := body.(type) {
 	case messenger.JobsView:
 		t.handleView(m)
@@ -279,14 +271,26 @@
 	if t.leads {
 		t.runDueWork()
 	}
-	return t.State, t.Messages
+	return t.end(), t.Messages
 }
 
 // transition is the mutable context of one step: the state so far and the messages to send.
 type transition struct {
 	State
 	messenger.Outbox
-	now time.Time
+	workers *indexer.Draft[string, worker] // hides the workers of State, which are those before the step
+	now     time.Time
+}
+
+// begin returns the context of a step that starts with the state s.
+func (s State) begin(now time.Time) *transition {
+	return &transition{State: s, workers: indexer.NewDraft(s.workers), now: now}
+}
+
+// end returns the state after the step.
+func (t *transition) end() State {
+	t.State.workers = t.workers.Map()
+	return t.State
 }
 
 // runDueWork runs the periodic checks, the placement pass and the proposal that are due.
@@ -309,7 +313,7 @@
 		t.lastPassAt = t.now
 		t.place()
 	}
-	if len(t.batch) > 0 && !t.now.Before(t.lastBatchAt.Add(batchInterval)) {
+	if t.batch.Len() > 0 && !t.now.Before(t.lastBatchAt.Add(batchInterval)) {
 		t.flush()
 	}
 }
@@ -318,21 +322,21 @@
 func (t *transition) flush() {
 	var c registrar.Command
 	var continuations []continuation
-	for _, q := range t.batch {
+	for _, q := range t.batch.All() {
 		c.Batch = append(c.Batch, q.command)
 		continuations = append(continuations, q.onCommit)
 	}
-	t.batch, t.lastBatchAt = nil, t.now
+	t.batch, t.lastBatchAt = indexer.List[queuedCommand]{}, t.now
 	t.lastProposalID++
 	t.continuations = t.continuations.With(t.lastProposalID, continuations)
 	t.Send(messenger.Jobs, messenger.ProposeJobs{ProposalID: t.lastProposalID, Command: c})
 }
 
-func (t *transition) setWorker(w worker) { t.State = t.WithWorker(w) }
+func (t *transition) setWorker(w worker) { t.workers.Set(w.ID, w) }
 
 // propose adds a command to the next proposal. onCommit runs once the command is committed.
 func (t *transition) propose(c registrar.Command, onCommit continuation) {
-	t.batch = append(slices.Clip(t.batch), queuedCommand{command: c, onCommit: onCommit})
+	t.batch = t.batch.Append(queuedCommand{command: c, onCommit: onCommit})
 }
 
 // answerCall answers the call with the given ID. Zero means that no caller waits.
@@ -376,12 +380,12 @@
 			t.answerCall(onCommit.callID, messenger.JobAnswer{Status: messenger.CallUncertain})
 		}
 	}
-	for _, q := range t.batch {
+	for _, q := range t.batch.All() {
 		t.answerCall(q.onCommit.callID, messenger.JobAnswer{Status: messenger.CallNotReady, RetryAfter: retryAfter})
 	}
-	t.batch = nil
+	t.batch = indexer.List[queuedCommand]{}
 	t.continuations = indexer.NewMap[uint64, []continuation]()
-	t.workers = indexer.NewMap[string, worker]()
+	t.workers.Reset()
 	t.fleet = fleet{}
 	t.advice = adviceCache{}
 	t.logDecision(messenger.Decision{Event: "steppedDown"})
@@ -393,7 +397,7 @@
 func (t *transition) becomeLeader() {
 	t.logDecision(messenger.Decision{Event: "leads"})
 	t.fleet = newFleet(t.now)
-	t.workers = indexer.NewMap[string, worker]()
+	t.workers.Reset()
 	leaseExpiresBy := t.now.Add(time.Duration(float64(t.cfg.MaxLease)*clockDriftFactor) + leaseMargin)
 	t.committed.EachWorker(func(w registrar.Worker) {
 		t.setWorker(worker{Worker: w, lastSeenAt: t.now, leaseExpiresBy: leaseExpiresBy})
--- a/scheduler/summary.go
+++ b/scheduler/summary.go
@@ -27,7 +27,7 @@
 	for _, w := range t.workers.All() {
 		s := pools[w.Pool]
 		s.workers++
-		s.runs += len(w.runs)
+		s.runs += w.runs.Len()
 		if w.acceptsStarts(t.now) {
 			s.ready++
 		}
@@ -93,8 +93,8 @@
 		return "has an unknown or departed worker"
 	case w.failedCalls > 0 || t.now.Sub(w.holdAnsweredAt) > staleAfter:
 		return "has an unresponsive worker"
-	case slices.ContainsFunc(w.runs, func(r run) bool { return r.longRunning }):
-		return fmt.Sprintf("has %d tasks, some of them long-running", len(w.runs))
+	case w.runs.Contains(func(r run) bool { return r.longRunning }):
+		return fmt.Sprintf("has %d tasks, some of them long-running", w.runs.Len())
 	}
-	return fmt.Sprintf("has %d tasks", len(w.runs))
+	return fmt.Sprintf("has %d tasks", w.runs.Len())
 }
