scheduler: a placement pass looks at workers only for steps that wait, and finds queues by name

Cause: each pass copied all workers (600 bytes each) although most passes have nothing to place, searched the configuration for the queue of each job, and allocated the run times of each job's steps.

Change: workers are collected once there is a candidate, by reference; queues are indexed for each version of the configuration.

BenchmarkPlace (2389 jobs): 8.8 ms to 7.6 ms a pass. go test ./scheduler passed.

--- a/indexer/draft.go
+++ b/indexer/draft.go
@@ -68,6 +68,9 @@
 // All iterates over the keys and values in key order, as they are when the iteration begins.
 func (d *Draft[K, V]) All() iter.Seq2[K, V] { return d.Map().All() }
 
+// Pointers iterates as All does, over pointers to the values, which the caller must not change.
+func (d *Draft[K, V]) Pointers() iter.Seq2[K, *V] { return d.Map().Pointers() }
+
 // Map returns the map with all changes.
 func (d *Draft[K, V]) Map() Map[K, V] {
 	d.write()
--- a/indexer/map.go
+++ b/indexer/map.go
@@ -43,6 +43,19 @@
 	return Map[K, V]{tree: m.tree.Delete(key)}
 }
 
+// Pointers iterates over the keys and pointers to the values in key order, for loops over large values. The caller must
+// not change the values.
+func (m Map[K, V]) Pointers() iter.Seq2[K, *V] {
+	return func(yield func(K, *V) bool) {
+		for it := m.tree.Iterator(); !it.Done(); {
+			key, value, _ := it.Next()
+			if !yield(key, value) {
+				return
+			}
+		}
+	}
+}
+
 // All iterates over the keys and values in key order.
 func (m Map[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -212,7 +212,7 @@
 // hasPermissibleWorker reports whether a worker of the pool is approved for the step or may still be approved.
 func (p *placement) hasPermissibleWorker(c *candidate) bool {
 	advice := p.advice.steps[c.stepID()]
-	return slices.ContainsFunc(p.workersByPool[c.pool], func(w *availableWorker) bool { return advice.canQuery(w.worker) })
+	return slices.ContainsFunc(p.workersByPool[c.pool], func(w *availableWorker) bool { return advice.canQuery(*w.worker) })
 }
 
 // workersToQuery returns the workers to query the advisor about for a step, the best first. These
@@ -223,7 +223,7 @@
 	resources := step.Request()
 	var eligible []*availableWorker
 	for _, w := range p.workersByPool[s.pool] {
-		if w.free.Fits(resources) && advice.canQuery(w.worker) && w.hasRequiredLabel(step) && advice.validTicket(p.now, w.worker) == "" {
+		if w.free.Fits(resources) && advice.canQuery(*w.worker) && w.hasRequiredLabel(step) && advice.validTicket(p.now, *w.worker) == "" {
 			eligible = append(eligible, w)
 		}
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -26,7 +26,7 @@
 
 // availableWorker is a worker that accepts starts, with the resources that the placement leaves free.
 type availableWorker struct {
-	worker
+	*worker              // not changed by the placement
 	free                 registrar.Resources
 	maintenanceDue       bool // the maintenance of its machine is due
 	plannedBestEffortCPU int  // CPU demand of its best-effort tasks, those of the placement included, in thousandths of a core
@@ -54,8 +54,8 @@
 // place runs a placement pass: it stops the runs of jobs that have ended, assigns waiting tasks to
 // workers, updates the demand on the pools and queries the advisor.
 func (t *transition) place() {
-	p := &placement{now: t.now, advice: t.advice, adviceSteps: make(map[registrar.TaskID]bool), workersByPool: t.availableWorkers(), assigned: make(map[registrar.TaskID]string), assigningJobs: make(map[string]bool), waitingCPU: make(map[string]int), lateCPU: make(map[string]int), spreadMachines: make(map[string]int), needsMachine: make(map[string]bool)}
-	p.maxFree = maxFreeByPool(p.workersByPool)
+	t.queues = t.queues.forConfig(t.committed.Config())
+	p := &placement{now: t.now, advice: t.advice, adviceSteps: make(map[registrar.TaskID]bool), assigned: make(map[registrar.TaskID]string), assigningJobs: make(map[string]bool), waitingCPU: make(map[string]int), lateCPU: make(map[string]int), spreadMachines: make(map[string]int), needsMachine: make(map[string]bool)}
 	for _, continuations := range t.continuations.All() {
 		for _, onCommit := range continuations {
 			p.recordPending(onCommit.starts)
@@ -64,7 +64,7 @@
 	for _, q := range t.batch.All() {
 		p.recordPending(q.onCommit.starts)
 	}
-	candidates := make([]*candidate, 0, t.committed.ActiveJobs())
+	var candidates []*candidate
 	t.committed.EachActive(func(j registrar.Job) {
 		if j.Outcome != registrar.Active {
 			t.stopJob(j)
@@ -72,6 +72,10 @@
 		}
 		candidates = t.collectCandidates(p, j, candidates)
 	})
+	if len(candidates)+len(p.upcoming) > 0 {
+		p.workersByPool = t.availableWorkers()
+		p.maxFree = maxFreeByPool(p.workersByPool)
+	}
 	slices.SortStableFunc(candidates, compareCandidates)
 	for _, c := range candidates {
 		p.placeStep(c, t.term)
@@ -85,7 +89,7 @@
 // updateDemands records the demand on each pool: the running tasks and those that could start now.
 func (t *transition) updateDemands(p *placement) {
 	running := make(map[string]int)
-	for _, w := range t.workers.All() {
+	for _, w := range t.workers.Pointers() {
 		running[w.Pool] += w.used.CPU + w.bestEffortCPU
 		p.lateCPU[w.Pool] += w.lateCPU
 	}
@@ -131,7 +135,7 @@
 // availableWorkers returns the workers on which runs may be started, by pool.
 func (t *transition) availableWorkers() map[string][]*availableWorker {
 	workers := make(map[string][]*availableWorker)
-	for _, w := range t.workers.All() {
+	for _, w := range t.workers.Pointers() {
 		if !w.acceptsStarts(t.now) || t.fleet.isCordoned(w.ID) {
 			continue
 		}
@@ -157,12 +161,33 @@
 	})
 }
 
+// queueIndex finds the queues of a configuration by name.
+type queueIndex struct {
+	version int64 // of the configuration
+	byName  map[string]*registrar.Queue
+}
+
+// forConfig returns the index of a configuration: the same one unless the version has changed.
+func (q queueIndex) forConfig(c registrar.Config) queueIndex {
+	if q.version == c.Version {
+		return q
+	}
+	q = queueIndex{version: c.Version, byName: make(map[string]*registrar.Queue, len(c.Queues))}
+	for i := range c.Queues {
+		_, known := q.byName[c.Queues[i].Name]
+		if !known { // the first one of a name counts, as in Config.Queue
+			q.byName[c.Queues[i].Name] = &c.Queues[i]
+		}
+	}
+	return q
+}
+
 // collectCandidates appends the ready steps of a job that have tasks without a worker, and records in
 // p the demand of these steps and the steps that need advice now or soon.
 func (t *transition) collectCandidates(p *placement, j registrar.Job, candidates []*candidate) []*candidate {
 	pool, priority, objective := j.Pool, 0, time.Duration(0)
 	stretch, needsAdvice := 1.0, false
-	queue, ok := t.committed.Config().Queue(j.Queue)
+	queue, ok := t.queues.byName[j.Queue]
 	if ok {
 		pool, priority, objective, stretch, needsAdvice = queue.Pool, queue.Priority, queue.Objective, max(queue.Stretch, 1), queue.Advice
 	}
@@ -252,18 +277,19 @@
 // criticalPath returns the expected run time of the longest chain of dependent steps that
 // are not done in an occurrence. An empty occurrence counts all steps.
 func (t *transition) criticalPath(j registrar.Job, o registrar.Occurrence) time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
+	var buffer [8]time.Duration // enough for most jobs, so that a pass allocates nothing for them
+	ends := buffer[:0]
 	longest := time.Duration(0)
 	for i, s := range j.Steps {
 		start := time.Duration(0)
 		for _, dependency := range s.After {
 			start = max(start, ends[dependency])
 		}
-		ends[i] = start
 		if i >= len(o.Remaining) || o.Remaining[i] > 0 {
-			ends[i] += t.expectedRunTime(j.Queue, s)
+			start += t.expectedRunTime(j.Queue, s)
 		}
-		longest = max(longest, ends[i])
+		ends = append(ends, start)
+		longest = max(longest, start)
 	}
 	return longest
 }
@@ -332,7 +358,7 @@
 		r := newRun(c.job, id, number)
 		r.late = c.late && !step.LongRunning
 		r.expectedRunTime = c.expectedRunTime
-		r.adviceTicket = p.advice.steps[c.stepID()].validTicket(p.now, target.worker)
+		r.adviceTicket = p.advice.steps[c.stepID()].validTicket(p.now, *target.worker)
 		p.runs = append(p.runs, r)
 	}
 }
@@ -398,10 +424,10 @@
 			continue
 		}
 		fits = true
-		if runCounts[w.ID] >= limit || !w.hasRequiredLabel(step) || (step.BestEffort && !w.fitsBestEffort(step)) {
+		if runCounts[w.ID] >= limit || (step.Requires != "" && !w.hasRequiredLabel(step)) || (step.BestEffort && !w.fitsBestEffort(step)) {
 			continue
 		}
-		if c.needsAdvice && advice.validTicket(p.now, w.worker) == "" {
+		if c.needsAdvice && advice.validTicket(p.now, *w.worker) == "" {
 			continue
 		}
 		score := w.scoreFor(step, task, rack)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -205,7 +205,8 @@
 	lastSummaryAt    time.Time
 	fleet            fleet
 	runTimes         map[string]runTimeStats // by queue
-	advice           adviceCache             // answers of the advisor
+	queues           queueIndex
+	advice           adviceCache // answers of the advisor
 }
 
 // NewState returns the state of a scheduler that does not lead. Its proposal IDs count up from
