--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -123,7 +123,7 @@
 			w.After(3*time.Second, func() {
 				w.submit("a", registrar.Job{ID: fmt.Sprintf("%016x", 1), Steps: []registrar.Step{{Count: tt.tasks, CPU: 2000, Memory: 7000, MaxPerWorker: 1, LongRunning: true, MaxUnavailable: 1, HasMaxUnavailable: true}}})
 			})
-			w.After(3*time.Second, func() { w.load([]string{"a"}, 100, time.Hour, time.Hour) })
+			w.After(3*time.Second, func() { w.load([]string{"a"}, 200, time.Hour, time.Hour) })
 			startAt := 8 * time.Second
 			w.After(startAt, func() {
 				var machines []string
