--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -340,12 +340,23 @@
 func (t *transition) relocateAhead(m machine) {
 	pool, _ := t.committed.Config().Pool(m.Pool)
 	w, ok := t.workers.Get(m.Worker)
-	if pool.Standby || !ok || !t.isResponsive(w) || !t.hasRelocationTargets(w) {
+	if pool.Standby || !ok || !t.isResponsive(w) {
+		return
+	}
+	if !t.hasRelocationTargets(w) {
+		t.recordRelocationBlocked(w.Pool)
 		return
 	}
 	t.evictOne(w)
 }
 
+// recordRelocationBlocked records that a pool needs more machines for its long-running tasks.
+func (t *transition) recordRelocationBlocked(pool string) {
+	d := t.fleet.demands[pool]
+	d.relocationBlockedAt = t.now
+	t.fleet = t.fleet.withDemand(pool, d)
+}
+
 // isResponsive reports whether the runs on a worker are known.
 func (t *transition) isResponsive(w worker) bool {
 	return !w.departed && w.failedCalls == 0 && t.now.Sub(w.holdAnsweredAt) <= staleAfter
@@ -480,9 +491,7 @@
 	if t.hasRelocationTargets(w) {
 		return true
 	}
-	d := t.fleet.demands[w.Pool]
-	d.relocationBlockedAt = t.now
-	t.fleet = t.fleet.withDemand(w.Pool, d)
+	t.recordRelocationBlocked(w.Pool)
 	if w.relocationBlockedSince.IsZero() {
 		w.relocationBlockedSince = t.now
 		t.setWorker(w)
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -111,24 +111,31 @@
 // after the other, do so while the other machines are maintained.
 func TestWaveOverBusyPool(t *testing.T) {
 	const perRound = 3 * time.Second // maintenance of 2 s, and 1 s until the next machine is ordered
-	tests := map[string]struct{ machines, maxDown, tasks int }{
-		"many machines at once": {machines: 40, maxDown: 16, tasks: 20},
-		"few machines at once":  {machines: 40, maxDown: 5, tasks: 20},
+	tests := map[string]struct {
+		pools                    map[string]int
+		busyQueue                string
+		load                     float64 // jobs a second
+		machines, maxDown, tasks int
+		perTask                  time.Duration // until a task runs elsewhere, if a machine has to come to its pool first
+	}{
+		"many machines at once":             {pools: map[string]int{"a": 60, "b": 5, "standby": 4}, busyQueue: "a", load: 200, machines: 40, maxDown: 16, tasks: 20},
+		"few machines at once":              {pools: map[string]int{"a": 60, "b": 5, "standby": 4}, busyQueue: "a", load: 200, machines: 40, maxDown: 5, tasks: 20},
+		"the tasks are in the smaller pool": {pools: map[string]int{"a": 14, "b": 50, "standby": 8}, busyQueue: "b", load: 100, machines: 56, maxDown: 7, tasks: 12, perTask: 3 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			rounds := (tt.machines + tt.maxDown - 1) / tt.maxDown
-			finishBy := time.Duration(rounds)*perRound + time.Second
-			w := newSimCluster(t, 1, map[string]int{"a": 60, "b": 5, "standby": 4}, faults{})
+			finishBy := max(time.Duration(rounds)*perRound, time.Duration(tt.tasks)*tt.perTask) + time.Second
+			w := newSimCluster(t, 1, tt.pools, faults{})
 			w.After(3*time.Second, func() {
 				w.submit("a", registrar.Job{ID: fmt.Sprintf("%016x", 1), Steps: []registrar.Step{{Count: tt.tasks, CPU: 2000, Memory: 7000, MaxPerWorker: 1, LongRunning: true, MaxUnavailable: 1, HasMaxUnavailable: true}}})
 			})
-			w.After(3*time.Second, func() { w.load([]string{"a"}, 200, time.Hour, time.Hour) })
+			w.After(3*time.Second, func() { w.load([]string{tt.busyQueue}, tt.load, time.Hour, time.Hour) })
 			startAt := 8 * time.Second
 			w.After(startAt, func() {
 				var machines []string
 				for _, name := range slices.Sorted(maps.Keys(w.machines)) {
-					if w.machines[name].Pool == "a" && len(machines) < tt.machines {
+					if w.machines[name].Pool != "standby" && len(machines) < tt.machines {
 						machines = append(machines, name)
 					}
 				}
