--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -193,7 +193,8 @@
 			task := registrar.TaskID{Job: "j"}
 			committed := registrar.NewState()
 			for _, c := range []registrar.Command{
-				{Config: &config}, {Submit: &registrar.Job{ID: "j", Queue: "q", Pool: "a", Steps: []registrar.Step{step}}},
+				{Config: &config},
+				{Submit: &registrar.Job{ID: "j", Queue: "q", Pool: "a", Steps: []registrar.Step{step}}},
 				{Starts: []registrar.Start{{Task: task, Run: 1, Worker: "i-1"}}},
 			} {
 				committed, _ = committed.Apply(now, c)
