--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -227,3 +227,53 @@
 	}
 	return "LOST", nil
 }
+
+// unreadableID lets another writer announce the end of a worker whose ID is bytes that can't be read.
+func unreadableID(s *system, trouble bool) (string, error) {
+	if _, err := s.startWorkers("a"); err != nil {
+		return "", err
+	}
+	leader := s.leader()
+	if leader == nil {
+		return "", fmt.Errorf("no leader")
+	}
+	chain := []step{{Count: 3, CPU: 2000, MemMB: 1000, Estimate: 1000, runTime: constant(time.Second)}}
+	for n := range 5 {
+		next := chain[0]
+		next.After = []int{n}
+		chain = append(chain, next)
+	}
+	var ids []string
+	for range 4 {
+		id := fmt.Sprintf("%016x", rand.Uint64())
+		if !s.submit(id, chain) {
+			return "", fmt.Errorf("a job was not accepted")
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	if trouble {
+		status, _, _ := s.call("DELETE", s.ip(1, 0)+":8623", "/instances/%FF%FE", "", nil)
+		s.l.note("another writer: DELETE /instances/%%FF%%FE: %d", status)
+	}
+	time.Sleep(6 * time.Second)
+	s.submit(fmt.Sprintf("%016x", rand.Uint64()), chain[:1])
+	if s.await(ids, 14*time.Second) { // finish_s
+		return "LOST", nil
+	}
+	stalled := s.l.idleFor()
+	for _, id := range ids {
+		if state, status := s.state(id); state != "complete" && stalled > 3*time.Second {
+			s.l.mu.Lock()
+			s.l.breach("LOST", "accepted job %s is %q (status %d), and no worker has had anything to run for %v", id, state, status, stalled.Round(100*time.Millisecond))
+			s.l.mu.Unlock()
+		}
+	}
+	s.kill(leader)
+	if err := s.startProcess(leader); err != nil {
+		return "", err
+	}
+	err := leader.cmd.Wait()
+	s.l.note("%s, started again, has ended by itself: %v", leader.name, err)
+	return "LOST", nil
+}
--- a/review/standin/ledger.go
+++ b/review/standin/ledger.go
@@ -17,6 +17,7 @@
 	CPU      int    `json:"cpu"`
 	MemMB    int    `json:"mem_mb"`
 	Estimate int    `json:"estimate_ms"`
+	After    []int  `json:"after_rev,omitempty"`
 	Requires string `json:"requires,omitempty"`
 
 	runTime func(index int) time.Duration
@@ -41,6 +42,7 @@
 type ledger struct {
 	mu       sync.Mutex
 	begin    time.Time
+	lastEnd  time.Time // of any run
 	file     *os.File
 	jobs     map[string][]step
 	running  map[string]map[string]int // number of the current run by task and worker
@@ -109,6 +111,7 @@
 	defer l.mu.Unlock()
 	l.note("%s ends %s run %d: %s", worker, task, run, how)
 	delete(l.running[task], worker)
+	l.lastEnd = time.Now()
 	if how == "done" {
 		l.done[task] = append(l.done[task], taskEnd{worker: worker, run: run, at: time.Now()})
 	}
@@ -140,6 +143,18 @@
 	}
 }
 
+// idleFor returns for how long nothing has run on any worker.
+func (l *ledger) idleFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, workers := range l.running {
+		if len(workers) > 0 {
+			return 0
+		}
+	}
+	return time.Since(l.lastEnd)
+}
+
 // total returns the number of breaches of a rule.
 func (l *ledger) total(rule string) int {
 	l.mu.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,9 +28,10 @@
 	"many-ends":      manyEnds,
 	"other-kind":     otherKind,
 	"replacement":    replacement,
+	"unreadable-id":  unreadableID,
 }
 
-var workersOf = map[string]int{"late-departure": 3, "many-ends": 2, "other-kind": 2, "replacement": 2}
+var workersOf = map[string]int{"late-departure": 3, "many-ends": 2, "other-kind": 2, "replacement": 2, "unreadable-id": 2}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
