--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -277,3 +277,57 @@
 	s.l.note("%s, started again, has ended by itself: %v", leader.name, err)
 	return "LOST", nil
 }
+
+// countPending crashes one of seven workers, the only one with room, as jobs are handed in, and asks how many of them
+// are pending while none has begun.
+func countPending(s *system, trouble bool) (string, error) {
+	for _, w := range s.workers[1:] {
+		if _, err := w.start(1, "a"); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	lasting := fmt.Sprintf("%016x", rand.Uint64())
+	if !s.submit(lasting, []step{{Count: 48, CPU: 2000, MemMB: 1000, Estimate: 60000, LongRunning: true, runTime: constant(time.Hour)}}) {
+		return "", fmt.Errorf("the lasting job was not accepted")
+	}
+	time.Sleep(4 * time.Second)
+	w := s.workers[0]
+	first, err := w.start(1, "a")
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		w.link.cut()
+		first.fallSilent("crashed")
+	}
+	var ids []string
+	for range 6 {
+		id := fmt.Sprintf("%016x", rand.Uint64())
+		if !s.submit(id, []step{{Count: 1, CPU: 2000, MemMB: 1000, Estimate: 2000, runTime: constant(2 * time.Second)}}) {
+			return "", fmt.Errorf("a job was not accepted")
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(5500 * time.Millisecond) // visible_ms and 2 s more
+	for n := range 2 {
+		waiting := s.l.notBegun(ids)
+		pending, ok := s.pending(n)
+		s.l.note("client: %d of %d jobs have not begun, GET %s at entry instance %d gives pending %d (read: %v)", waiting, len(ids), prefix, n, pending, ok)
+		if ok && 2*pending < waiting {
+			s.l.mu.Lock()
+			s.l.breach("MIXED", "pending is given as %d, while %d jobs that were accepted over 5 s before have not begun", pending, waiting)
+			s.l.mu.Unlock()
+		}
+	}
+	if trouble {
+		first.end("crashed")
+		w.link.heal()
+		if _, err := w.start(2, "a"); err != nil {
+			return "", err
+		}
+	}
+	s.await(ids, 20*time.Second)
+	return "MIXED", nil
+}
--- a/review/standin/ledger.go
+++ b/review/standin/ledger.go
@@ -20,6 +20,8 @@
 	After    []int  `json:"after_rev,omitempty"`
 	Requires string `json:"requires,omitempty"`
 
+	LongRunning bool `json:"long_running,omitempty"`
+
 	runTime func(index int) time.Duration
 }
 
@@ -143,6 +145,23 @@
 	}
 }
 
+// notBegun returns how many jobs have had no run on any worker.
+func (l *ledger) notBegun(ids []string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	begun := make(map[string]bool)
+	for task := range l.starts {
+		begun[strings.SplitN(task, ".", 2)[0]] = true
+	}
+	n := 0
+	for _, id := range ids {
+		if !begun[id] {
+			n++
+		}
+	}
+	return n
+}
+
 // idleFor returns for how long nothing has run on any worker.
 func (l *ledger) idleFor() time.Duration {
 	l.mu.Lock()
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -340,6 +340,15 @@
 	return "", 0
 }
 
+// pending returns how many jobs an entry instance gives as pending.
+func (s *system) pending(entry int) (int, bool) {
+	status, data, _ := s.call(http.MethodGet, s.ip(2, entry)+":8624", prefix, queueHost, nil)
+	var count struct {
+		Pending int `json:"pending"`
+	}
+	return count.Pending, status == http.StatusOK && json.Unmarshal(data, &count) == nil
+}
+
 // await waits until all jobs are complete and returns whether they are.
 func (s *system) await(ids []string, limit time.Duration) bool {
 	deadline := time.Now().Add(limit)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -102,10 +102,17 @@
 
 // end ends the life: all connections close and all runs are gone.
 func (lf *life) end(why string) {
+	lf.fallSilent(why)
+	_ = lf.server.Close()
+	lf.client.CloseIdleConnections()
+}
+
+// fallSilent ends the life as end does, but its connections stay open. Its link has to be cut.
+func (lf *life) fallSilent(why string) {
 	lf.mu.Lock()
+	defer lf.mu.Unlock()
 	select {
 	case <-lf.over:
-		lf.mu.Unlock()
 		return
 	default:
 	}
@@ -115,9 +122,6 @@
 		lf.w.l.endedRun(lf.name, task, r.number, "gone with its worker")
 	}
 	lf.runs = make(map[string]*workerRun)
-	lf.mu.Unlock()
-	_ = lf.server.Close()
-	lf.client.CloseIdleConnections()
 }
 
 func (lf *life) clock() int64 { return time.Since(lf.born).Milliseconds() + 1 }
@@ -178,10 +182,7 @@
 		return
 	}
 	if lf.w.link.isCut() {
-		select {
-		case <-lf.w.link.open():
-		case <-lf.over:
-		}
+		<-lf.w.link.open()
 		panic(http.ErrAbortHandler) // the call was lost
 	}
 	if lf.dropped != nil && lf.dropped(r.URL.Path) {
@@ -285,6 +286,12 @@
 		time.Sleep(5 * time.Millisecond)
 		lf.mu.Lock()
 	}
+	if lf.w.link.isCut() {
+		lf.mu.Unlock()
+		<-lf.w.link.open()
+		lf.mu.Lock()
+		panic(http.ErrAbortHandler) // the answer was lost
+	}
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range lf.runs {
 		running = append(running, []any{task, r.number, "", 50, r.step.CPU})
