encoder: replicas read everything that a leader writes

Cause: CBOR was encoded without limits but decoded with the defaults of the library, which reject text that is not UTF-8 and lists of more than 131,072 elements. The entry with the ID could be appended and written, but neither the followers nor the leader's next start could read it. The departure was the one call of workers whose ID was not checked.

Change: the decoder accepts what the encoder writes; the scheduler refuses the departure of an ID that no worker can have. The same cause in the claims log: header values of recorded answers are bytes instead of protobuf text.

Ruled out: that the followers lose the batch for another reason; with the entry decodable the case goes on. Other text of workers, provider and operator comes from JSON, whose decoder replaces what is not UTF-8.

--- a/encoder/claims.go
+++ b/encoder/claims.go
@@ -12,7 +12,7 @@
 		Outcome:    int32(a.Outcome),
 		Reason:     string(a.Reason),
 		Status:     int32(a.Status),
-		Header:     convertAll(a.Header, func(f messenger.Field) *Field { return &Field{Name: f.Name, Value: f.Value} }),
+		Header:     convertAll(a.Header, func(f messenger.Field) *Field { return &Field{Name: f.Name, Value: []byte(f.Value)} }),
 		Body:       a.Body,
 		RetryAfter: int64(a.RetryAfter),
 	}
@@ -23,7 +23,7 @@
 		Outcome:    messenger.Outcome(a.GetOutcome()),
 		Reason:     messenger.Reason(a.GetReason()),
 		Status:     int(a.GetStatus()),
-		Header:     convertAll(a.GetHeader(), func(f *Field) messenger.Field { return messenger.Field{Name: f.GetName(), Value: f.GetValue()} }),
+		Header:     convertAll(a.GetHeader(), func(f *Field) messenger.Field { return messenger.Field{Name: f.GetName(), Value: string(f.GetValue())} }),
 		Body:       a.GetBody(),
 		RetryAfter: time.Duration(a.GetRetryAfter()),
 	}
--- a/encoder/jobs.go
+++ b/encoder/jobs.go
@@ -2,12 +2,25 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"laburnumwind/registrar"
 )
 
+// decodeMode decodes everything that MarshalCBOR encodes. By default, the library rejects text that is not valid
+// UTF-8 and long lists: a replica could not read what its leader has written.
+var decodeMode = newDecodeMode()
+
+func newDecodeMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
 // MarshalCBOR encodes a value as CBOR.
 func MarshalCBOR(v any) ([]byte, error) {
 	data, err := cbor.Marshal(v)
@@ -20,7 +33,7 @@
 // UnmarshalCBOR decodes a value from CBOR.
 func UnmarshalCBOR[T any](data []byte) (T, error) {
 	var v T
-	err := cbor.Unmarshal(data, &v)
+	err := decodeMode.Unmarshal(data, &v)
 	if err != nil {
 		return v, fmt.Errorf("decode CBOR: %w", err)
 	}
--- a/registrar/validate.go
+++ b/registrar/validate.go
@@ -96,8 +96,9 @@
 // Validate returns an error if the worker cannot be named in a call or if its values could overflow. Whether its
 // address can be called is for the package that calls it to say.
 func (w Worker) Validate() error {
-	if !isHeaderValue(w.ID) || w.ID == "" {
-		return fmt.Errorf("worker ID %.40q cannot be sent in a header: %w", w.ID, ErrInvalid)
+	err := ValidateWorkerID(w.ID)
+	if err != nil {
+		return fmt.Errorf("validate worker: %w", err)
 	}
 	switch {
 	case w.Address == "" || !isHeaderValue(w.Address):
@@ -115,6 +116,14 @@
 	return w.Capacity.Validate()
 }
 
+// ValidateWorkerID returns an error unless the ID can be sent in a header, as it is in calls to the worker.
+func ValidateWorkerID(id string) error {
+	if id == "" || !isHeaderValue(id) {
+		return fmt.Errorf("worker ID %.40q cannot be sent in a header: %w", id, ErrInvalid)
+	}
+	return nil
+}
+
 // isHeaderValue reports whether text can be sent as an HTTP header value.
 func isHeaderValue(text string) bool {
 	for _, c := range []byte(text) {
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -218,6 +218,11 @@
 // handleDeparture handles the notice of a worker that is shutting down: it proposes
 // the ends of its runs and the removal of the worker.
 func (t *transition) handleDeparture(callID uint64, d messenger.Departure) {
+	err := registrar.ValidateWorkerID(d.Worker)
+	if err != nil {
+		t.refuseInvalid(callID, messenger.Decision{Event: "departureInvalid", Reason: err.Error()})
+		return
+	}
 	w, ok := t.workers.Get(d.Worker)
 	if ok {
 		t.proposeAllEnds(w, "departed")
