scheduler: a departure ends runs only once its worker has ended

Cause: the notice of a departure names an ID and no incarnation, and arrived after the next process had registered. The leader ended the runs of that process unasked and recorded its incarnation as departed.

Change: a notice makes the leader ask the worker for a report at once and start nothing on it meanwhile. The runs end if the machine refuses the connection, another worker answers, or the lease has expired; a report refutes the notice. The same cause on a related path: a machine list that is older than the next process of a worker ended its runs; the leader now remembers the incarnation that its order ends.

Ruled out: identifying the process by its connection, which a redirect or a new connection defeats.

--- a/messenger/job.go
+++ b/messenger/job.go
@@ -224,7 +224,8 @@
 	OK          bool  // the worker accepted the call
 	Fenced      bool  // the fencing token is lower than one that the worker has seen
 	WrongWorker bool  `cbor:"Moved"` // a different worker listens at the address
-	Incarnation int64 `cbor:"Life"`  // changes when the worker restarts
+	Refused     bool  // the machine refused the connection: no process listens at the address
+	Incarnation int64 `cbor:"Life"` // changes when the worker restarts
 	Clock       int64 // monotonic clock of the worker, in milliseconds; zero if unknown
 	Running     []RunReport
 	Ended       []EndReport // ended runs that are not acknowledged yet
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -211,32 +211,59 @@
 // report does not list them.
 func (w worker) restarted() worker {
 	w.ackedEnd, w.endsPending, w.clockReadAt, w.heartbeatSeq, w.Draining, w.departed = 0, false, time.Time{}, 0, false, false
-	w.nextHoldAt = time.Time{}
+	w.nextHoldAt, w.departureNoticedAt = time.Time{}, time.Time{}
 	return w
 }
 
-// handleDeparture handles the notice of a worker that is shutting down: it proposes
-// the ends of its runs and the removal of the worker.
+// handleDeparture handles the notice of a worker that is shutting down. The notice names no incarnation, and a
+// partition can hold it up until the next process of the worker has registered. So it ends no runs by itself: the
+// worker is asked for a report at once, and gets no starts until it has sent one. See resolveDeparture.
 func (t *transition) handleDeparture(callID uint64, d messenger.Departure) {
 	err := registrar.ValidateWorkerID(d.Worker)
 	if err != nil {
 		t.refuseInvalid(callID, messenger.Decision{Event: "departureInvalid", Reason: err.Error()})
 		return
 	}
+	t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallDone})
 	w, ok := t.workers.Get(d.Worker)
-	if ok {
-		t.proposeAllEnds(w, "departed")
-	}
-	c := registrar.Command{RemovedWorkers: []string{d.Worker}}
-	registered, known := t.committed.Worker(d.Worker)
-	incarnation := max(registered.Incarnation, w.Incarnation)
-	if (ok || known) && incarnation > 0 {
-		c.Departures = []registrar.Departure{{Worker: d.Worker, Incarnation: incarnation}}
-	}
-	t.propose(c, continuation{callID: callID})
-	if ok {
-		w, _ = t.workers.Get(d.Worker)
-		w.Draining, w.departed, w.reportRequestedAt = true, true, time.Time{}
+	if !ok || w.departed {
+		return
+	}
+	t.logDecision(messenger.Decision{Event: "departureNoticed", Instance: w.ID, Pool: w.Pool, Reason: drainStatus(w.Draining)})
+	w.departureNoticedAt, w.nextHoldAt = t.now, t.now
+	t.setWorker(w)
+	t.sendHold(w)
+}
+
+// resolveDeparture decides what a reply to a hold says about a notice of the worker's departure. The worker has shut
+// down if it has no process at its address any more. A report shows that the notice came from an earlier process, or
+// that the worker has yet to end: one that drains may, so its notice stands.
+func (t *transition) resolveDeparture(m messenger.HoldReply) {
+	w, _ := t.workers.Get(m.Hold.Worker)
+	if w.departureNoticedAt.IsZero() || w.departed || m.Hold.At.Before(w.departureNoticedAt) {
+		return
+	}
+	if m.Refused || m.WrongWorker {
+		t.removeDeparted(w)
+		return
+	}
+	if m.OK && !w.Draining {
+		t.logDecision(messenger.Decision{Event: "departureRefuted", Instance: w.ID, Pool: w.Pool, Age: t.now.Sub(w.departureNoticedAt)})
+		w.departureNoticedAt = time.Time{}
 		t.setWorker(w)
 	}
 }
+
+// removeDeparted proposes the ends of all runs of a worker that has shut down, its removal, and the departure of its
+// incarnation, so that a late heartbeat does not bring it back.
+func (t *transition) removeDeparted(w worker) {
+	t.proposeAllEnds(w, "departed")
+	w, _ = t.workers.Get(w.ID)
+	w.Draining, w.departed, w.reportRequestedAt = true, true, time.Time{}
+	t.setWorker(w)
+	c := registrar.Command{RemovedWorkers: []string{w.ID}}
+	if w.Incarnation > 0 {
+		c.Departures = []registrar.Departure{{Worker: w.ID, Incarnation: w.Incarnation}}
+	}
+	t.propose(c, continuation{})
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -43,6 +43,7 @@
 	orderUnconfirmed     bool      // an order was not answered: only a later list shows its result
 	orderedAt            time.Time // time of the last order
 	departingWorker      string    // its worker when the provider accepted the last order; the next list shows whether it has left
+	departingIncarnation int64     // incarnation of that worker
 	maintenanceStartedAt time.Time // when its last maintenance began, if this leader ordered it
 }
 
@@ -163,7 +164,7 @@
 // equal reports whether two records of a machine have the same value in every field.
 func (m machine) equal(o machine) bool {
 	return m.Machine.Equal(o.Machine) && m.orderPending == o.orderPending && m.orderUnconfirmed == o.orderUnconfirmed &&
-		m.orderedAt.Equal(o.orderedAt) && m.departingWorker == o.departingWorker && m.maintenanceStartedAt.Equal(o.maintenanceStartedAt)
+		m.orderedAt.Equal(o.orderedAt) && m.departingWorker == o.departingWorker && m.departingIncarnation == o.departingIncarnation && m.maintenanceStartedAt.Equal(o.maintenanceStartedAt)
 }
 
 // forgetMissing records that a machine is listed.
@@ -216,7 +217,8 @@
 // it executed before, possibly for an earlier leader, so only the next list shows whether the
 // machine's worker has left.
 func (t *transition) applyAcceptedOrder(m machine, r messenger.MachineReply) machine {
-	m.orderedAt, m.departingWorker = t.now, m.Worker
+	w, _ := t.workers.Get(m.Worker)
+	m.orderedAt, m.departingWorker, m.departingIncarnation = t.now, m.Worker, w.Incarnation
 	t.fleet.listWanted = true
 	if r.Order.Wave == 0 {
 		m.State, m.Pool = messenger.MachineMoving, r.Order.Pool
@@ -228,7 +230,7 @@
 }
 
 // confirmDeparture proposes the ends of the runs of a machine's worker once a list shows that the
-// worker has left.
+// worker has left. The list may be older than the next process of the worker, whose runs go on.
 func (t *transition) confirmDeparture(m machine, listed messenger.Machine, requestedAt time.Time) machine {
 	if m.departingWorker == "" || m.orderPending || requestedAt.Before(m.orderedAt) {
 		return m
@@ -241,7 +243,7 @@
 		return m
 	}
 	w, ok := t.workers.Get(m.departingWorker)
-	if ok {
+	if ok && w.Incarnation == m.departingIncarnation {
 		t.proposeAllEnds(w, "its machine left")
 		w, _ = t.workers.Get(w.ID)
 		w.Draining, w.departed, w.reportRequestedAt = true, true, time.Time{}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -244,7 +244,11 @@
 	if !m.OK {
 		w.failedCalls++
 		w.nextHoldAt = t.now.Add(holdRetryDelay * time.Duration(min(w.failedCalls, maxHoldBackoff)))
+		if w.failedCalls == 1 && !w.departureNoticedAt.IsZero() {
+			w.nextHoldAt = t.now // its process may have ended and closed the connection
+		}
 		t.setWorker(w)
+		t.resolveDeparture(m)
 		return
 	}
 	t.dirty = true
@@ -256,6 +260,7 @@
 		t.setWorker(w)
 		t.propose(registrar.Command{Workers: []registrar.Worker{w.Worker}}, continuation{})
 	}
+	t.resolveDeparture(m)
 	t.reconcile(m)
 	t.handleEndReports(m)
 	t.ejectSlowWorker(m.Hold.Worker)
@@ -428,7 +433,7 @@
 	if wait > holdWaitStarting && w.hasStartingTask() {
 		wait = holdWaitStarting
 	}
-	if w.reportRequestedAt.IsZero() || w.runs.Contains(func(r run) bool { return !r.stopConfirmedAt.IsZero() }) {
+	if w.needsReport() || w.runs.Contains(func(r run) bool { return !r.stopConfirmedAt.IsZero() }) {
 		wait = 0 // the leader needs a report now, to start runs on the worker or to end stopped ones
 	}
 	deadline := int64(0)
@@ -478,8 +483,9 @@
 		}
 		w, _ = t.workers.Get(w.ID)
 		silence := t.now.Sub(w.lastSeenAt)
-		if silence > staleAfter && t.now.After(w.leaseExpiresBy) && w.runs.Len() > 0 {
-			t.proposeAllEnds(w, "its lease has ended")
+		if silence > staleAfter && t.now.After(w.leaseExpiresBy) {
+			t.endUnresponsive(w)
+			w, _ = t.workers.Get(w.ID)
 		}
 		if (silence > removeWorkerAfter || w.departed) && w.runs.Len() == 0 {
 			removed = append(removed, w.ID)
@@ -494,6 +500,17 @@
 	t.propose(registrar.Command{RemovedWorkers: removed}, continuation{})
 }
 
+// endUnresponsive ends the runs of a worker whose lease has expired, and removes it if it had announced its departure.
+func (t *transition) endUnresponsive(w worker) {
+	if !w.departureNoticedAt.IsZero() && !w.departed {
+		t.removeDeparted(w)
+		return
+	}
+	if w.runs.Len() > 0 {
+		t.proposeAllEnds(w, "its lease has ended")
+	}
+}
+
 // checkRun repeats the unconfirmed order of a run. If none of the run's start orders can have
 // reached its worker and the worker is unreachable, it ends the run instead, unsentStartTimeout
 // after the last start order.
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -53,7 +53,8 @@
 	holdDueAt              time.Time // when a hold in flight should be answered at the latest
 	nextHoldAt             time.Time // earliest time of the next hold
 	failedCalls            int       // number of failed or unanswered holds and orders since the last answered hold
-	departed               bool      // it announced its departure, or a machine list shows that it left its machine: it gets no more holds
+	departureNoticedAt     time.Time // when the notice arrived that it shuts down, which may be that of an earlier incarnation; zero: none did, or a report has refuted it
+	departed               bool      // it has shut down, or a machine list shows that it left its machine: it gets no more holds
 	ackedEnd               int64     // all run ends that it reported up to this sequence number are committed
 	endsPending            bool      // ends are proposed but not yet committed
 	leaseExpiresBy         time.Time // every lease that a leader sent to the worker has expired by then
@@ -154,11 +155,18 @@
 }
 
 // acceptsStarts reports whether runs may be placed on the worker. The worker must not be
-// draining or paused by noStartsUntil, it must have reported its runs in this term, no call to
-// it may have failed since its last report, and the hold in flight may not be overdue.
+// draining or paused by noStartsUntil, it must have reported its runs in this term and since a
+// notice of its departure, no call to it may have failed since its last report, and the hold in
+// flight may not be overdue.
 func (w worker) acceptsStarts(now time.Time) bool {
 	overdue := w.holdPending && now.After(w.holdDueAt)
-	return !w.Draining && !w.reportRequestedAt.IsZero() && w.failedCalls == 0 && !overdue && !now.Before(w.noStartsUntil)
+	return !w.Draining && !w.needsReport() && w.failedCalls == 0 && !overdue && !now.Before(w.noStartsUntil)
+}
+
+// needsReport reports whether the leader knows the runs of the worker only from before its term or from before a
+// notice of the worker's departure.
+func (w worker) needsReport() bool {
+	return w.reportRequestedAt.IsZero() || w.reportRequestedAt.Before(w.departureNoticedAt)
 }
 
 // continuation holds what the leader does once a proposed command is committed.
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -94,7 +94,8 @@
 	unackedEnds  []messenger.EndReport    // ends that are not acknowledged yet
 	lastEnd      int64                    // number of the last end
 	unreachable  bool                     // it gets no calls and sends no heartbeats, but its runs go on
-	gone         bool                     // removed by a move or a maintenance of its machine
+	gone         bool                     // ended; a machine in a move or a maintenance answers nothing
+	refuses      bool                     // ended, and its machine refuses connections to its address
 	failsRuns    bool
 	slow         bool
 }
@@ -241,6 +242,21 @@
 	w.After(time.Duration(w.r.Int64N(int64(100*time.Millisecond))), func() { w.sendHeartbeat(x) })
 }
 
+// endWorker ends the process of a worker, with all its runs. Its machine stays up and refuses connections.
+func (w *simCluster) endWorker(x *fakeWorker) {
+	x.gone, x.refuses = true, true
+	x.runs = nil
+}
+
+// restartWorker starts a new incarnation of an ended worker under its ID and its address.
+func (w *simCluster) restartWorker(x *fakeWorker) *fakeWorker {
+	next := &fakeWorker{Worker: x.Worker, machine: x.machine, runs: make(map[registrar.TaskID]fakeRun), highestRun: make(map[registrar.TaskID]int)}
+	next.Incarnation, next.Draining = w.Now().UnixMilli(), false
+	w.workers[x.ID] = next
+	w.sendHeartbeat(next)
+	return next
+}
+
 // sendHeartbeat sends heartbeats of a worker until it is gone. An unreachable worker sends none.
 func (w *simCluster) sendHeartbeat(x *fakeWorker) {
 	if x.gone {
@@ -296,6 +312,8 @@
 		})
 	}
 	switch {
+	case x != nil && x.refuses:
+		answer(callDelay, messenger.NotSent, 0)
 	case x == nil || x.gone || x.unreachable:
 		answer(700*time.Millisecond, messenger.Unanswered, 0)
 	case w.r.Float64() < w.faults.lateOrders:
@@ -408,6 +426,10 @@
 // schedules the report. A lost hold has no effect on the worker.
 func (w *simCluster) handleHold(h messenger.Hold) {
 	x := w.workers[h.Worker]
+	if x != nil && x.refuses {
+		w.After(callDelay, func() { w.deliver(messenger.HoldReply{Hold: h, Refused: true}) })
+		return
+	}
 	if x == nil || x.gone || x.unreachable || w.r.Float64() < w.faults.lostAnswers {
 		w.After(h.Wait+700*time.Millisecond, func() { w.deliver(messenger.HoldReply{Hold: h}) })
 		return
@@ -442,6 +464,10 @@
 		w.After(5*time.Millisecond, func() { w.answerHold(x, h, until) })
 		return
 	}
+	if x.refuses { // its end closed the connection
+		w.After(callDelay, func() { w.deliver(messenger.HoldReply{Hold: h}) })
+		return
+	}
 	reply := messenger.HoldReply{Hold: h, OK: !x.gone && !x.unreachable, Incarnation: x.Incarnation, Clock: w.clock()}
 	for id, r := range x.runs {
 		percent := int(100 * w.Now().Sub(r.startedAt) / max(r.end.Sub(r.startedAt), 1))
