replicator: a node that stops as planned hands over its vote

Cause: a learner took the place of a voter only after 4 s of its silence, and a voter that stopped on SIGTERM kept its vote. The second stop left one voter of three beside two caught-up learners; one voter can't commit a new membership.

Change: a stopping node says so in its replies to the leader. The leader adds a caught-up learner and then removes the stopping voter, one committed change at a time. The process waits for that for at most a second (handOver). A leader that resigns prefers a successor that stays.

Ruled out: the data itself; the learners had it. Removing the stopping voter first was rejected: with a second stop in between, the two left must both answer.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,7 +51,7 @@
 	requestRingSize = 1024  // maximum number of calls that wait for the scheduler
 	controlRingSize = 16384 // maximum number of other messages that wait for a stage
 
-	resignTimeout = time.Second // maximum time that Stop waits for the leader to step down
+	handOverTimeout = time.Second // maximum time that Stop waits until other nodes have the leadership and the vote
 
 	readHeaderTimeout = 5 * time.Second
 )
@@ -296,28 +297,39 @@
 	return v.IsLeader && c.cfg.Clock().Before(v.LeaseEnd)
 }
 
-// Stop resigns if this node leads, closes the listener and stops all goroutines. It waits at
-// most resignTimeout for the resignation.
+// Stop hands over the leadership and the vote of this node, closes the listener and stops all
+// goroutines.
 func (c *Controller) Stop() {
-	timeout := time.NewTimer(resignTimeout)
+	c.handOver()
+	_ = c.server.Close() // callers retry calls in progress at other nodes
+	c.dispatcher.Stop()
+	c.delegator.Stop()
+	c.pipeline.Stop()
+	c.courier.Stop()
+	c.recorder.Stop()
+	_ = c.store.Close() // every acknowledged write has been synced
+	c.wg.Wait()
+}
+
+// handOver waits until another node leads and a learner has this node's vote, but at most
+// handOverTimeout: there may be no learner.
+func (c *Controller) handOver() {
+	timeout := time.NewTimer(handOverTimeout)
 	defer timeout.Stop()
 	c.startedPipeline().Send(messenger.Jobs, messenger.Resign{})
 	poll := time.NewTicker(10 * time.Millisecond)
 	defer poll.Stop()
-	for c.View().IsLeader {
+	for {
+		view := c.View()
+		if !view.IsLeader && !slices.Contains(view.Members, c.cfg.Name) {
+			c.cfg.Log.Info().Msg("vote handed over")
+			return
+		}
 		select {
 		case <-poll.C:
-			continue
 		case <-timeout.C:
+			c.cfg.Log.Info().Bool("leads", view.IsLeader).Strs("voters", view.Members).Msg("stopping as a voter")
+			return
 		}
-		break
 	}
-	_ = c.server.Close() // callers retry calls in progress at other nodes
-	c.dispatcher.Stop()
-	c.delegator.Stop()
-	c.pipeline.Stop()
-	c.courier.Stop()
-	c.recorder.Stop()
-	_ = c.store.Close() // every acknowledged write has been synced
-	c.wg.Wait()
 }
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -146,6 +146,7 @@
 		Failed:   m.Failed,
 		Passed:   m.Forwarded,
 		Beat:     m.HeartbeatOnly,
+		Stopping: m.Stopping,
 		Resigned: m.LeaderTransfer,
 	}
 	if m.Kind == replicator.Propose || m.Kind == replicator.ProposeReply {
@@ -185,6 +186,7 @@
 		Failed:         m.GetFailed(),
 		Forwarded:      m.GetPassed(),
 		HeartbeatOnly:  m.GetBeat(),
+		Stopping:       m.GetStopping(),
 		LeaderTransfer: m.GetResigned(),
 	}
 	if out.Kind == replicator.InstallSnapshot && snapshot == nil {
--- a/replicator/elastic.go
+++ b/replicator/elastic.go
@@ -36,12 +36,68 @@
 
 // shouldPromote reports whether a learner that has caught up should become a voter
 // of a group with dynamic membership: because it is a known voter with a new disk,
-// because the group has too few voters, or because it replaces an unresponsive one.
+// because the group has too few voters, or because it replaces one that is unresponsive or
+// about to stop.
 func (t *transition[C, S, R]) shouldPromote(p progress) bool {
 	s := t.state
 	_, unresponsive := t.unresponsiveVoter()
+	_, stopping := t.stoppingVoter()
 	rejoining := slices.ContainsFunc(s.Members(), func(m Member) bool { return m.Name == p.name })
-	return rejoining || len(s.Members()) < s.cfg.TargetVoters || unresponsive
+	if rejoining || len(s.Members()) < s.cfg.TargetVoters || unresponsive {
+		return rejoining || !p.stopping
+	}
+	return stopping && !p.stopping && len(s.Members()) == s.cfg.TargetVoters && t.answeringVoters()+1 > (len(s.Members())+1)/2
+}
+
+// stoppingVoter returns a voter other than the leader that is about to stop or has stopped since.
+func (t *transition[C, S, R]) stoppingVoter() (Member, bool) {
+	s := t.state
+	for _, m := range s.Members() {
+		p, ok := s.peer(m.Name)
+		if ok && m.Name != s.cfg.Name && p.diskID == m.DiskID && p.stopping {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// answeringVoters returns the number of voters that have answered within ElectionTimeout, with the leader.
+func (t *transition[C, S, R]) answeringVoters() int {
+	s := t.state
+	n := 0
+	for _, m := range s.Members() {
+		p, ok := s.peer(m.Name)
+		if m.Name == s.cfg.Name || (ok && t.isAnswering(m, p)) {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *transition[C, S, R]) isAnswering(m Member, p progress) bool {
+	return p.diskID == m.DiskID && t.now.Sub(p.ackedAt) < t.state.cfg.ElectionTimeout
+}
+
+// surplusVoter returns the voter to remove from a group with dynamic membership that has more voters than its
+// target: one that is about to stop or unresponsive. It returns one only if a majority of the others answers.
+func (t *transition[C, S, R]) surplusVoter() (Member, bool) {
+	s := t.state
+	if !s.cfg.DynamicMembership || len(s.Members()) <= s.cfg.TargetVoters {
+		return Member{}, false
+	}
+	surplus, ok := t.stoppingVoter()
+	if !ok {
+		surplus, ok = t.unresponsiveVoter()
+	}
+	if !ok {
+		return Member{}, false
+	}
+	answering := t.answeringVoters()
+	p, _ := s.peer(surplus.Name)
+	if t.isAnswering(surplus, p) {
+		answering--
+	}
+	return surplus, answering > (len(s.Members())-1)/2
 }
 
 // unresponsiveVoter returns a voter that has not answered for UnresponsiveAfter. It
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -14,21 +14,26 @@
 
 // transferLeadership makes a resigning leader step down once another voter has the
 // whole log, and asks that voter to start an election. A voter that lacks entries could
-// lose the election, which would leave the group without a leader. Only the leader of a
-// term can hold a lease in it, so after it has stepped down voters need not wait for the
-// lease to expire.
+// lose the election, which would leave the group without a leader. A voter that is about to
+// stop is asked only if there is no other. Only the leader of a term can hold a lease in it,
+// so after it has stepped down voters need not wait for the lease to expire.
 func (t *transition[C, S, R]) transferLeadership() {
 	s := t.state
 	if s.role != Leader || !s.resigning {
 		return
 	}
+	successor := ""
 	for _, p := range s.peers {
-		if s.isMember(p.name, p.diskID) && p.matchIndex == s.lastIndex() && t.now.Sub(p.ackedAt) < s.cfg.ElectionTimeout {
-			t.becomeFollower(s.term, "")
-			t.send(Message[C, S, R]{Kind: TimeoutNow, To: p.name})
-			return
+		eligible := s.isMember(p.name, p.diskID) && p.matchIndex == s.lastIndex() && t.now.Sub(p.ackedAt) < s.cfg.ElectionTimeout
+		if eligible && (successor == "" || !p.stopping) {
+			successor = p.name
 		}
 	}
+	if successor == "" {
+		return
+	}
+	t.becomeFollower(s.term, "")
+	t.send(Message[C, S, R]{Kind: TimeoutNow, To: successor})
 }
 
 // handleTimeoutNow starts an election at once if the leader of the current term asks for it.
@@ -144,6 +149,11 @@
 	if changePending || s.commit < s.termStart || !s.HoldsLease(t.now) {
 		return
 	}
+	surplus, ok := t.surplusVoter()
+	if ok {
+		t.appendEntry(Entry[C]{Kind: MembershipEntry, Members: without(s.Members(), surplus)})
+		return
+	}
 	for _, p := range s.cfg.Peers {
 		peerProgress, _ := s.peer(p.Name)
 		if !p.CanVote || peerProgress.diskID == "" || s.isMember(p.Name, peerProgress.diskID) {
@@ -173,16 +183,23 @@
 // nextMembers returns the voters after the next change on the way to making a node a
 // voter. If the node is a voter under an old disk ID, the change removes that voter.
 // Otherwise, if the membership is dynamic and the group has its target number of voters,
-// the change removes an unresponsive voter. Otherwise it adds the node.
+// the change removes an unresponsive voter. Otherwise it adds the node. A voter that is about
+// to stop is removed only after that, since it still counts towards the majority.
 func (t *transition[C, S, R]) nextMembers(p progress) []Member {
 	members := slices.Clone(t.state.Members())
-	without := slices.DeleteFunc(members, func(m Member) bool { return m.Name == p.name })
-	if len(without) < len(t.state.Members()) {
-		return without
+	others := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Name == p.name })
+	if len(others) < len(members) {
+		return others
 	}
-	if t.state.cfg.DynamicMembership && len(members) >= t.state.cfg.TargetVoters {
+	_, stopping := t.stoppingVoter()
+	if t.state.cfg.DynamicMembership && len(members) >= t.state.cfg.TargetVoters && !stopping {
 		unresponsive, _ := t.unresponsiveVoter()
-		return slices.DeleteFunc(members, func(m Member) bool { return m == unresponsive })
+		return without(members, unresponsive)
 	}
-	return append(without, Member{Name: p.name, DiskID: p.diskID})
+	return append(members, Member{Name: p.name, DiskID: p.diskID})
+}
+
+// without returns the members without one of them.
+func without(members []Member, m Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(other Member) bool { return other == m })
 }
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -85,6 +85,7 @@
 	Failed         bool // ProposeReply: nothing was proposed, since the node does not lead and cannot forward the proposal, or is a leader that resigns
 	Forwarded      bool // Propose: already forwarded once, by a node that is not the leader
 	LeaderTransfer bool // Vote: requested by the leader of the previous term, which gave up its lease
+	Stopping       bool // AppendReply: the sender is about to stop, so another node should get its vote
 	HeartbeatOnly  bool // Append: heartbeat without entries, which the sender may delay briefly to batch it with other messages to the node
 }
 
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -152,7 +152,7 @@
 // replyAppend answers an append or a snapshot. index is the last matching index or, if
 // matched is false, the index after which the leader should retry.
 func (t *transition[C, S, R]) replyAppend(m Message[C, S, R], matched bool, index uint64) {
-	t.sendAfterSync(Message[C, S, R]{Kind: AppendReply, To: m.From, Granted: matched, Index: index, EchoedSentAt: m.SentAt, Commit: t.state.commit})
+	t.sendAfterSync(Message[C, S, R]{Kind: AppendReply, To: m.From, Granted: matched, Index: index, EchoedSentAt: m.SentAt, Commit: t.state.commit, Stopping: t.state.stopping})
 }
 
 func (t *transition[C, S, R]) handleAppendReply(m Message[C, S, R]) {
@@ -166,6 +166,7 @@
 	}
 	p.peerSentAt = m.SentAt
 	p.commitIndex = max(p.commitIndex, m.Commit)
+	p.stopping = m.Stopping
 	if m.EchoedSentAt.After(p.ackedAt) {
 		p.ackedAt = m.EchoedSentAt
 	}
--- a/replicator/state.go
+++ b/replicator/state.go
@@ -31,6 +31,7 @@
 	peerSentAt    time.Time // node's send time of its latest reply
 	lastSentAt    time.Time // when the leader last sent an append or a snapshot to the node
 	backtrackedAt time.Time // when a rejected append last moved nextIndex back
+	stopping      bool      // its latest reply said that it is about to stop
 }
 
 // State is the immutable state of a node in its group.
@@ -57,6 +58,7 @@
 	ackPendingTo  uint64    // that commit index
 	votes         []string  // nodes that granted their vote in this election or pre-vote
 	peers         []progress
+	stopping      bool      // the node is about to stop and hands over its vote; with dynamic membership, the leader then replaces it
 	resigning     bool      // the leader takes no proposals and waits for a voter that has the whole log
 	leaderSince   time.Time // when the node became leader
 	termStart     uint64    // index of the first entry of the leader's term
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -50,11 +50,13 @@
 	})
 }
 
-// Resign starts a leadership transfer: the leader rejects further proposals and steps
-// down once another voter has the whole log, so that a planned stop leaves no time
-// without a leader.
+// Resign prepares a planned stop, so that it leaves no time without a leader and takes no
+// vote from the group. A leader starts a leadership transfer: it rejects further proposals and
+// steps down once another voter has the whole log. A follower tells the leader that it is about
+// to stop; with dynamic membership, the leader gives its vote to a learner that has caught up.
 func (s State[C, S, R]) Resign(now time.Time) (State[C, S, R], Effects[C, S, R]) {
 	return s.step(now, func(t *transition[C, S, R]) {
+		t.state.stopping = true
 		t.state.resigning = t.state.role == Leader && len(t.state.Members()) > 1
 	})
 }
