replicator: learners replace silent voters after 1.5 s

A caught-up learner waits for 4 s of silence, so a second loss 3.2 s after the first leaves one voter of three.

Change: UnresponsiveAfter is 1.5 s, three election timeouts of the controllers.

Two losses within 1.5 s stay open: the group would need learners as voters ahead of time.

--- a/replicator/config.go
+++ b/replicator/config.go
@@ -63,7 +63,7 @@
 		cfg.TrailingEntries = 512
 	}
 	if cfg.UnresponsiveAfter == 0 {
-		cfg.UnresponsiveAfter = 4 * time.Second
+		cfg.UnresponsiveAfter = 1500 * time.Millisecond
 	}
 	if cfg.MaxBatchSize == 0 {
 		cfg.MaxBatchSize = 256
--- a/replicator/elastic_test.go
+++ b/replicator/elastic_test.go
@@ -105,6 +105,17 @@
 			s.RunFor(time.Second)
 			s.crash(s.follower(0))
 		}},
+		"two gone without notice, seconds apart": {learners: 2, scenario: func(s *sim) {
+			first, second := s.follower(0), s.follower(1)
+			s.crash(first)
+			s.RunFor(3200 * time.Millisecond)
+			s.crash(second)
+		}},
+		"the leader and then its successor gone without notice": {learners: 2, scenario: func(s *sim) {
+			s.crash(s.leader())
+			s.RunFor(3200 * time.Millisecond)
+			s.crash(s.leader())
+		}},
 		"without a learner the voter stays": {scenario: func(s *sim) {
 			name := s.follower(0)
 			s.terminate(name)
