platform: a full list of ends is incomplete

Cause: a worker lists 500 ended runs at a time. A run that a report lists neither as running nor as ended counted as lost, also if the list was cut off there.

Change: a report with the maximum number of ends is marked as incomplete and proves nothing about runs that it does not list. The simulated workers of the scheduler's tests cut their lists too.

Ruled out: the fencing tokens; the runs were ended by the report under the new token.

--- a/messenger/job.go
+++ b/messenger/job.go
@@ -229,7 +229,7 @@
 	Clock       int64 // monotonic clock of the worker, in milliseconds; zero if unknown
 	Running     []RunReport
 	Ended       []EndReport // ended runs that are not acknowledged yet
-	Partial     bool        // some entries of the lists could not be read, so a run that is not listed may still be there
+	Partial     bool        // the lists may lack entries, because some could not be read or the list of ends is cut off: a run that is not listed may still be there or have ended
 }
 
 // MachineState is the state of a machine as reported by the provider.
--- a/scheduler/partial_test.go
+++ b/scheduler/partial_test.go
@@ -21,7 +21,7 @@
 	}{
 		"requested after the start was confirmed":  {report: messenger.HoldReply{Hold: messenger.Hold{At: now}}, gone: true},
 		"requested before the start was confirmed": {report: messenger.HoldReply{Hold: messenger.Hold{At: now.Add(-time.Minute)}}},
-		"with an entry that could not be read":     {report: messenger.HoldReply{Hold: messenger.Hold{At: now}, Partial: true}},
+		"that may lack entries":                    {report: messenger.HoldReply{Hold: messenger.Hold{At: now}, Partial: true}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -31,6 +31,46 @@
 	}
 }
 
+// TestManyEnds guards against a worker with more ends than one of its reports holds: the runs whose ends were not listed
+// yet counted as lost, and their tasks ran a second time although they were done.
+func TestManyEnds(t *testing.T) {
+	const tasks = 3 * maxListedEnds
+	tests := map[string]struct {
+		leaderChanges bool
+		cutFor        time.Duration
+	}{
+		"at once":                           {},
+		"the leader changes":                {leaderChanges: true},
+		"the worker is cut off for a while": {cutFor: 3 * time.Second},
+		"both, while the tasks end":         {leaderChanges: true, cutFor: 3 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newSimCluster(t, 1, map[string]int{"a": 1}, faults{})
+			x := w.workers["i-0001"]
+			w.RunFor(3 * time.Second)
+			w.submit("a", registrar.Job{ID: "j", Steps: []registrar.Step{{Count: tasks, CPU: 10, Memory: 20, Estimate: 8 * time.Second}}})
+			w.RunFor(5 * time.Second)
+			must.MapLen(t, tasks, x.runs)
+			for id, r := range x.runs {
+				r.end = w.Now().Add(time.Second)
+				x.runs[id] = r
+			}
+			if tt.cutFor > 0 {
+				x.unreachable = true
+				w.After(tt.cutFor, func() { x.unreachable = false })
+			}
+			if tt.leaderChanges {
+				w.After(900*time.Millisecond, w.changeLeader)
+			}
+			w.RunFor(8 * time.Second)
+			must.MapEq(t, map[string]int{"done": tasks}, w.outcomes)
+			j, _ := w.committed.Job("j")
+			must.EqOp(t, registrar.Complete, j.Outcome)
+		})
+	}
+}
+
 // TestUnreadableMachine checks that a machine whose entry in the provider's list cannot be read keeps its last state.
 func TestUnreadableMachine(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -312,8 +312,8 @@
 }
 
 // isProvablyGone reports whether a report proves that a run is not on the worker and
-// will not start there. The report must list the run neither as running nor as ended, and
-// must have been requested after the start or the stop was confirmed. For a run of an
+// will not start there. The report must be complete, list the run neither as running nor as
+// ended, and must have been requested after the start or the stop was confirmed. For a run of an
 // earlier leader any report is sufficient, since the worker now rejects that leader's start
 // orders by their fencing token.
 func (t *transition) isProvablyGone(r run, m messenger.HoldReply) bool {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -20,6 +20,7 @@
 	maxLease          = 6 * time.Second
 	heartbeatInterval = 1500 * time.Millisecond
 	maxOverTarget     = 4 * time.Second // maximum time that a run may exceed its latency target
+	maxListedEnds     = 500             // maximum number of ends in one report of a worker
 )
 
 // simCluster runs a real scheduler in a simulated cluster on a fake clock. Simulated are the
@@ -479,7 +480,8 @@
 		}
 		reply.Running = append(reply.Running, messenger.RunReport{Task: id, Run: r.number, Percent: percent, Measurement: int(w.tailLatency(x, r).Milliseconds())})
 	}
-	reply.Ended = slices.Clone(x.unackedEnds)
+	reply.Ended = slices.Clone(x.unackedEnds[:min(len(x.unackedEnds), maxListedEnds)])
+	reply.Partial = len(reply.Ended) == maxListedEnds
 	w.After(callDelay, func() { w.deliver(reply) })
 }
 
