scheduler: a start is repeated only while its placement holds

Cause: a start order without an answer was repeated to whatever process had the worker's ID, without another look at its incarnation, its drain or its labels. Answers of an earlier process counted for the next.

Change: sendStart checks these conditions each time and withdraws the run if one no longer holds: by a stop, or by the end of the run if none of its orders can have arrived. Orders name the incarnation they are meant for; answers of another one are ignored.

Evidence: TestRepeatedStart failed in the rows "restarts as another kind" and "drains", TestRepliesOfAnEarlierProcess in the row "the process before". Ruled out: the placement itself, which chooses by the labels of the registration.

--- a/messenger/job.go
+++ b/messenger/job.go
@@ -138,21 +138,22 @@
 // as CBOR, with the field names as keys. A renamed field needs a cbor tag with its former name, so that
 // instances of different versions understand each other.
 type Order struct {
-	Kind       OrderKind
-	Worker     string
-	Address    string
-	Task       registrar.TaskID
-	Run        int       // number of the run of the task
-	Payload    string    // payload of the job, sent to the worker as it is
-	Checkpoint string    `cbor:"Saved"` // checkpoint to resume from
-	Deadline   int64     // end of the worker's lease on the worker's clock, in milliseconds
-	Fence      uint64    // fencing token
-	Percent    int       // set for ThrottleRun: percentage of full speed; zero pauses the run
-	Ticket     string    `cbor:"Permit"` // ticket issued by the advisor
-	NotAfter   time.Time // the call is not started after this time
-	At         time.Time // time at which the leader issued the order
-	Delegate   string    `cbor:"Via"` // instance that makes the call; empty if the leader makes it
-	Origin     string    // leader that delegated the call; empty if it makes the call itself
+	Kind        OrderKind
+	Worker      string
+	Incarnation int64 // of the worker that the order is meant for
+	Address     string
+	Task        registrar.TaskID
+	Run         int       // number of the run of the task
+	Payload     string    // payload of the job, sent to the worker as it is
+	Checkpoint  string    `cbor:"Saved"` // checkpoint to resume from
+	Deadline    int64     // end of the worker's lease on the worker's clock, in milliseconds
+	Fence       uint64    // fencing token
+	Percent     int       // set for ThrottleRun: percentage of full speed; zero pauses the run
+	Ticket      string    `cbor:"Permit"` // ticket issued by the advisor
+	NotAfter    time.Time // the call is not started after this time
+	At          time.Time // time at which the leader issued the order
+	Delegate    string    `cbor:"Via"` // instance that makes the call; empty if the leader makes it
+	Origin      string    // leader that delegated the call; empty if it makes the call itself
 }
 
 // Verdict is the result of an order: the worker's response, or the reason why there is none.
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"laburnumwind/indexer"
 	"laburnumwind/messenger"
 	"laburnumwind/registrar"
 )
@@ -208,10 +209,17 @@
 
 // restarted returns the worker after a restart of its process, which starts its sequence
 // numbers again from zero. The runs that it had confirmed before are ended when its next
-// report does not list them.
+// report does not list them. The others are withdrawn: see sendStart.
 func (w worker) restarted() worker {
 	w.ackedEnd, w.endsPending, w.clockReadAt, w.heartbeatSeq, w.Draining, w.departed = 0, false, time.Time{}, 0, false, false
 	w.nextHoldAt, w.departureNoticedAt = time.Time{}, time.Time{}
+	runs := make([]run, 0, w.runs.Len())
+	for _, r := range w.runs.All() {
+		r.startUncertain = r.startUncertain || (r.orderPending && !r.stopping)
+		r.orderPending, r.stopConfirmedAt = false, time.Time{} // an answer counts for the process before
+		runs = append(runs, r)
+	}
+	w.runs = indexer.ListOf(runs...)
 	return w
 }
 
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -124,7 +124,7 @@
 	}
 	t.setWorker(w.WithRun(r.withPace(r.pace.WithSent(t.now))))
 	t.Send(messenger.Dispatcher, messenger.Order{
-		Kind: messenger.ThrottleRun, Worker: w.ID, Address: w.Address, Task: r.task, Run: r.number, Fence: t.term,
+		Kind: messenger.ThrottleRun, Worker: w.ID, Incarnation: w.Incarnation, Address: w.Address, Task: r.task, Run: r.number, Fence: t.term,
 		Percent: percent, NotAfter: t.leaseEnd, At: t.now, Delegate: t.delegateFor(w),
 	})
 }
--- /dev/null
+++ b/scheduler/repeat_test.go
@@ -0,0 +1,88 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumwind/messenger"
+	"laburnumwind/registrar"
+)
+
+// TestRepeatedStart guards against the repetition of an unanswered start order after the worker has changed: it started
+// tasks on the next process of the worker, which lacked their label, and on workers that drained.
+func TestRepeatedStart(t *testing.T) {
+	tests := map[string]struct {
+		change      func(w *simCluster, x *fakeWorker) // half a second after the orders
+		startsThere bool
+	}{
+		"the worker stays as it is": {
+			change: func(_ *simCluster, x *fakeWorker) { x.dropsOrders = false }, startsThere: true,
+		},
+		"it restarts as another kind": {
+			change: func(w *simCluster, x *fakeWorker) {
+				w.endWorker(x)
+				x.Labels = []string{"b", "r-a-0"}
+				w.restartWorker(x)
+			},
+		},
+		"it restarts as the same kind": {
+			change: func(w *simCluster, x *fakeWorker) { w.endWorker(x); w.restartWorker(x) }, startsThere: true,
+		},
+		"it drains": {
+			change: func(w *simCluster, x *fakeWorker) {
+				x.Draining = true
+				w.After(4*time.Second, func() { x.dropsOrders = false })
+			},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newSimCluster(t, 1, map[string]int{"a": 2}, faults{})
+			w.RunFor(3 * time.Second)
+			x, other := w.workers["i-0001"], w.workers["i-0002"]
+			other.Labels = []string{"b", "r-a-0"}
+			w.RunFor(2 * time.Second)
+			x.dropsOrders = true
+			w.submit("a", registrar.Job{ID: "j", Steps: []registrar.Step{{Count: 4, CPU: 2000, Memory: 1000, Estimate: time.Minute, Requires: "a"}}})
+			w.RunFor(500 * time.Millisecond)
+			tt.change(w, x)
+			w.RunFor(10 * time.Second)
+			must.MapEmpty(t, other.runs)
+			if tt.startsThere {
+				must.MapLen(t, 4, w.workers[x.ID].runs)
+				return
+			}
+			must.MapEmpty(t, w.workers[x.ID].runs)
+		})
+	}
+}
+
+// TestRepliesOfAnEarlierProcess guards against a reply to an order that the worker answered before it restarted: its
+// clock and its confirmation count for the process before.
+func TestRepliesOfAnEarlierProcess(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tests := map[string]struct {
+		incarnation int64 // of the worker that the order was sent to
+		counts      bool
+	}{
+		"the same process":                     {incarnation: 6, counts: true},
+		"the process before":                   {incarnation: 5},
+		"unknown, from an older version of us": {counts: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState(Config{MaxLease: maxLease}, 1)
+			s, _ = s.Step(now, messenger.JobsView{State: registrar.NewState(), IsLeader: true, LeaseEnd: now.Add(time.Hour), Term: 2})
+			r := run{task: registrar.TaskID{Job: "j"}, number: 1, incarnation: 6, committed: true, stopping: true, orderPending: true, orderSentAt: now}
+			w := worker{Worker: registrar.Worker{ID: "i-1", Incarnation: 6, Address: "a"}, holdPending: true, holdDueAt: now.Add(time.Hour)}
+			s.workers = s.workers.With("i-1", w.WithRun(r))
+			order := messenger.Order{Kind: messenger.StopRun, Worker: "i-1", Incarnation: tt.incarnation, Task: r.task, Run: 1, Fence: 2}
+			s, _ = s.Step(now.Add(time.Millisecond), messenger.OrderReply{Order: order, Verdict: messenger.Accepted, Clock: 77})
+			after, _ := s.workers.Get("i-1")
+			must.EqOp(t, tt.counts, after.clock == 77)
+			must.EqOp(t, tt.counts, !after.runs.At(0).stopConfirmedAt.IsZero())
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -55,12 +55,16 @@
 	return registrar.Task{}, false
 }
 
-// sendStart sends a start order, which also renews the worker's lease. It sends nothing if
-// the job or the clock of the worker is unknown, if a call to the worker has failed since its
-// last report, or without a valid leader lease.
+// sendStart sends a start order, which also renews the worker's lease, or withdraws the run if the
+// worker may not start it any more. It sends nothing if the job or the clock of the worker is
+// unknown, if a call to the worker has failed since its last report, or without a valid leader lease.
 func (t *transition) sendStart(id string, r run) {
 	w, _ := t.workers.Get(id)
 	j, ok := t.committed.Job(r.task.Job)
+	if ok && !w.mayStart(r, j.Steps[r.task.Step]) {
+		t.withdraw(w, r)
+		return
+	}
 	deadline := w.leaseDeadline(t.now, t.cfg.MaxLease)
 	if !ok || deadline == 0 || w.failedCalls > 0 || !t.holdsLeaderLease(t.now) {
 		return
@@ -68,19 +72,35 @@
 	r.orderPending, r.orderSentAt = true, t.now
 	t.setWorker(w.WithRun(r).WithLeaseDeadline(deadline))
 	t.Send(messenger.Dispatcher, messenger.Order{
-		Kind: messenger.StartRun, Worker: w.ID, Address: w.Address, Task: r.task, Run: r.number,
+		Kind: messenger.StartRun, Worker: w.ID, Incarnation: w.Incarnation, Address: w.Address, Task: r.task, Run: r.number,
 		Payload: j.Payload, Checkpoint: r.checkpoint, Deadline: deadline, Fence: t.term, Ticket: r.adviceTicket,
 		NotAfter: t.leaseEnd, At: t.now, Delegate: t.delegateFor(w),
 	})
 }
 
+// mayStart reports whether the conditions of a run's placement still hold: the worker has not restarted since, does
+// not drain and has the label that the step requires.
+func (w worker) mayStart(r run, step registrar.Step) bool {
+	return w.Incarnation == r.incarnation && !w.Draining && w.hasRequiredLabel(step)
+}
+
+// withdraw ends a run whose start is not confirmed. The run is stopped if one of its start orders may still be
+// executed, also by the next process of the worker: the worker then rejects such an order.
+func (t *transition) withdraw(w worker, r run) {
+	if !r.startUncertain {
+		t.proposeEnd(w.ID, r, registrar.EndLost)
+		return
+	}
+	t.stop(w, r, "its worker may not start it any more")
+}
+
 // sendStop sends one stop order. Repeating it is up to the caller.
 func (t *transition) sendStop(w worker, task registrar.TaskID, number int) {
 	if !t.holdsLeaderLease(t.now) {
 		return
 	}
 	t.Send(messenger.Dispatcher, messenger.Order{
-		Kind: messenger.StopRun, Worker: w.ID, Address: w.Address, Task: task, Run: number, Fence: t.term,
+		Kind: messenger.StopRun, Worker: w.ID, Incarnation: w.Incarnation, Address: w.Address, Task: task, Run: number, Fence: t.term,
 		NotAfter: t.leaseEnd, At: t.now, Delegate: t.delegateFor(w),
 	})
 }
@@ -93,10 +113,11 @@
 	t.logDecision(messenger.Decision{Event: "stop", Job: r.task.Job, Run: r.number, Instance: w.ID, Reason: reason})
 }
 
-// handleOrderReply handles a worker's answer to a start, stop or pace order.
+// handleOrderReply handles a worker's answer to a start, stop or pace order. It ignores an answer of an earlier
+// process of the worker.
 func (t *transition) handleOrderReply(m messenger.OrderReply) {
 	w, ok := t.workers.Get(m.Order.Worker)
-	if !ok {
+	if !ok || (m.Order.Incarnation != 0 && m.Order.Incarnation != w.Incarnation) {
 		return
 	}
 	w = w.WithClock(m.Clock, t.now)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -12,6 +12,7 @@
 type run struct {
 	task            registrar.TaskID
 	number          int
+	incarnation     int64 // of the worker that it was assigned to
 	resources       registrar.Resources
 	longRunning     bool          // runs until it is stopped
 	late            bool          // its job could no longer meet its objective when the run was placed
@@ -421,7 +422,7 @@
 				w = worker{Worker: registrar.Worker{ID: task.Worker, Incarnation: task.Incarnation}, leaseExpiresBy: leaseExpiresBy}
 			}
 			r := newRun(j, id, task.Run)
-			r.committed, r.inherited = true, true
+			r.incarnation, r.committed, r.inherited = task.Incarnation, true, true
 			if r.bestEffort {
 				r.pace = &pacing{percent: paceUnknown}
 			}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -21,6 +21,7 @@
 	heartbeatInterval = 1500 * time.Millisecond
 	maxOverTarget     = 4 * time.Second // maximum time that a run may exceed its latency target
 	maxListedEnds     = 500             // maximum number of ends in one report of a worker
+	drainTime         = 2 * time.Second // maximum time between the acknowledgement of a drain and the last start
 )
 
 // simCluster runs a real scheduler in a simulated cluster on a fake clock. Simulated are the
@@ -94,6 +95,8 @@
 	highestRun   map[registrar.TaskID]int // highest run number that was started or stopped
 	unackedEnds  []messenger.EndReport    // ends that are not acknowledged yet
 	lastEnd      int64                    // number of the last end
+	dropsOrders  bool                     // it gets no orders and answers none, but sends heartbeats and reports
+	drainAckedAt time.Time                // when its drain was acknowledged; zero: it was not
 	unreachable  bool                     // it gets no calls and sends no heartbeats, but its runs go on
 	gone         bool                     // ended; a machine in a move or a maintenance answers nothing
 	refuses      bool                     // ended, and its machine refuses connections to its address
@@ -268,7 +271,12 @@
 		return
 	}
 	x.seq++
-	w.call(messenger.Heartbeat{Worker: x.Worker, Seq: x.seq, Clock: w.clock()}, func(messenger.JobAnswer) {})
+	draining := x.Draining
+	w.call(messenger.Heartbeat{Worker: x.Worker, Seq: x.seq, Clock: w.clock()}, func(messenger.JobAnswer) {
+		if draining && x.drainAckedAt.IsZero() {
+			x.drainAckedAt = w.Now()
+		}
+	})
 }
 
 // clock returns the time of all workers' clocks in milliseconds. It is never zero, since zero
@@ -305,6 +313,9 @@
 // handleOrder delivers an order to a worker, subject to faults.
 func (w *simCluster) handleOrder(o messenger.Order) {
 	x := w.workers[o.Worker]
+	if x != nil && o.Kind == messenger.StartRun && !x.drainAckedAt.IsZero() && o.At.Sub(x.drainAckedAt) > drainTime {
+		w.t.Fatalf("%v: a start is ordered on %s %v after its drain was acknowledged", o.Task, x.ID, o.At.Sub(x.drainAckedAt))
+	}
 	reply := messenger.OrderReply{Order: o}
 	answer := func(after time.Duration, v messenger.Verdict, clock int64) {
 		w.After(after, func() {
@@ -315,7 +326,7 @@
 	switch {
 	case x != nil && x.refuses:
 		answer(callDelay, messenger.NotSent, 0)
-	case x == nil || x.gone || x.unreachable:
+	case x == nil || x.gone || x.unreachable || x.dropsOrders:
 		answer(700*time.Millisecond, messenger.Unanswered, 0)
 	case w.r.Float64() < w.faults.lateOrders:
 		answer(700*time.Millisecond, messenger.Unanswered, 0)
@@ -394,8 +405,12 @@
 }
 
 // checkStart fails the test if the end of the task was acknowledged or the task runs on another
-// worker, if it does not fit on the worker, or if its dependencies are not done.
+// worker, if it does not fit on the worker or requires another label, or if its dependencies are not done.
 func (w *simCluster) checkStart(x *fakeWorker, o messenger.Order, j registrar.Job) {
+	label := j.Steps[o.Task.Step].Requires
+	if label != "" && !slices.Contains(x.Labels, label) {
+		w.t.Fatalf("%v requires the label %q and starts on %s, which has %v", o.Task, label, x.ID, x.Labels)
+	}
 	if w.ackedTasks[o.Task] {
 		w.t.Fatalf("%v run %d starts although its task is done", o.Task, o.Run)
 	}
