platform: rows with negative task numbers are skipped

Callers would see that the runs of a worker stand still: a row of its list with a negative step or index made the stage panic (which is caught), so the leader dropped the whole list, each time.

Cause: the task name was parsed without a lower bound, and transition.task checked the upper bounds alone.

Change: such a row counts as unreadable, and the other rows are used; the lookup of a task checks its range in one place (Occurrence.Task).

--- a/registrar/state.go
+++ b/registrar/state.go
@@ -330,6 +330,14 @@
 	return task.Occurrence >= 0 && task.Occurrence < j.Occurrences()
 }
 
+// Task returns a task of the occurrence, or false if the occurrence has no such step or index.
+func (o Occurrence) Task(id TaskID) (Task, bool) {
+	if !o.hasTask(id) {
+		return Task{}, false
+	}
+	return o.Steps[id.Step][id.Index], true
+}
+
 // hasTask reports whether the step and the index of a task are in range.
 func (o Occurrence) hasTask(task TaskID) bool {
 	return task.Step >= 0 && task.Step < len(o.Steps) && task.Index >= 0 && task.Index < len(o.Steps[task.Step])
--- a/scheduler/partial_test.go
+++ b/scheduler/partial_test.go
@@ -129,3 +129,27 @@
 		})
 	}
 }
+
+// TestReportOfImpossibleTask guards against a report that names a task with numbers that no task has: it made the leader
+// drop the whole report.
+func TestReportOfImpossibleTask(t *testing.T) {
+	tests := map[string]registrar.TaskID{
+		"unknown job":      {Job: "k"},
+		"negative step":    {Job: "j", Step: -1},
+		"negative index":   {Job: "j", Index: -1},
+		"step too high":    {Job: "j", Step: 1},
+		"index too high":   {Job: "j", Index: 1 << 40},
+		"no occurrence":    {Job: "j", Occurrence: -1},
+		"later occurrence": {Job: "j", Occurrence: 7},
+	}
+	for name, id := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			committed, _ := registrar.NewState().Apply(now, registrar.Command{Submit: &registrar.Job{ID: "j", Steps: []registrar.Step{{Count: 1}}}})
+			committed, _ = committed.Apply(now, registrar.Command{Starts: []registrar.Start{{Task: registrar.TaskID{Job: "j"}, Run: 1, Worker: "i-2"}}})
+			tr := State{committed: committed}.begin(now)
+			_, ok := tr.task(id)
+			must.False(t, ok)
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -48,8 +48,8 @@
 		return registrar.Task{}, false
 	}
 	for _, o := range j.ActiveOccurrences {
-		if o.Number == id.Occurrence && id.Step < len(o.Steps) && id.Index < len(o.Steps[id.Step]) {
-			return o.Steps[id.Step][id.Index], true
+		if o.Number == id.Occurrence {
+			return o.Task(id)
 		}
 	}
 	return registrar.Task{}, false
