scheduler: a job is pending until a worker has confirmed a run

Cause: registrar counts a job as begun from its first assignment, for good.

Change: a job none of whose runs has ended counts as begun only if the leader has a confirmed run of it, or one that an earlier leader assigned.

Evidence: TestPendingWhileUnconfirmed failed in the row "the worker gets no orders". After a change of the leader the former count holds until runs end; that is left.

--- a/registrar/state.go
+++ b/registrar/state.go
@@ -110,17 +110,36 @@
 	return time.Unix(0, at)
 }
 
-// Pending returns the number of active jobs of a queue that are due and have not started.
-func (s State) Pending(queue string, now time.Time) int {
+// Pending returns the number of active jobs of a queue that are due and have not begun. A job whose tasks have all been
+// assigned once at most and have not ended may or may not have begun: mayHaveBegun tells this for the job with the given ID.
+func (s State) Pending(queue string, now time.Time, mayHaveBegun func(job string) bool) int {
 	n := 0
 	s.EachActive(func(j Job) {
-		if j.Queue == queue && j.Outcome == Active && !j.Started && !j.DueAt(0).After(now) {
+		if j.Queue != queue || j.Outcome != Active || j.DueAt(0).After(now) {
+			return
+		}
+		if !j.Started || (j.isFirstAttempt() && !mayHaveBegun(j.ID)) {
 			n++
 		}
 	})
 	return n
 }
 
+// isFirstAttempt reports whether no run of a task of the job has ended.
+func (j Job) isFirstAttempt() bool {
+	if len(j.DoneOccurrences) > 0 {
+		return false
+	}
+	for _, o := range j.ActiveOccurrences {
+		for _, tasks := range o.Steps {
+			if slices.ContainsFunc(tasks, func(t Task) bool { return t.Run > 1 || (t.Run == 1 && t.Phase != Running) }) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Apply returns the state after a command, and the result of the command. at is the timestamp
 // of the log entry.
 func (s State) Apply(at time.Time, c Command) (State, Result) {
--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,3 +87,33 @@
 		})
 	}
 }
+
+// TestPendingWhileUnconfirmed guards against a job that counts as begun once it is assigned: jobs assigned to a worker
+// that had fallen silent were not counted as pending.
+func TestPendingWhileUnconfirmed(t *testing.T) {
+	tests := map[string]struct {
+		dropsOrders, silent bool
+		pending             int
+	}{
+		"the worker starts them":     {},
+		"the worker gets no orders":  {dropsOrders: true, pending: 6},
+		"the worker has gone silent": {silent: true, pending: 6},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newSimCluster(t, 1, map[string]int{"a": 1}, faults{})
+			w.RunFor(5 * time.Second)
+			x := w.workers["i-0001"]
+			x.dropsOrders, x.unreachable = tt.dropsOrders, tt.silent
+			for n := range 6 {
+				w.submit("a", registrar.Job{ID: fmt.Sprintf("%016x", n), Steps: []registrar.Step{{Count: 1, CPU: 2000, Memory: 1000, Estimate: time.Minute}}})
+			}
+			for range 5 {
+				w.RunFor(time.Second)
+				pending := -1
+				w.call(messenger.JobCall{Verb: messenger.CountPending, Host: "h", Path: "/a/"}, func(a messenger.JobAnswer) { pending = a.Pending })
+				must.EqOp(t, tt.pending, pending)
+			}
+		})
+	}
+}
