--- /dev/null
+++ b/scheduler/fakeworker_test.go
@@ -0,0 +1,226 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"laburnumwind/messenger"
+	"laburnumwind/registrar"
+)
+
+// endDueRuns ends the runs of a worker that are finished, and all of them once its lease has expired.
+func (w *simCluster) endDueRuns(x *fakeWorker) {
+	for id, r := range x.runs {
+		reason := registrar.EndReason(0)
+		switch {
+		case !r.longRunning && !r.end.After(w.Now()) && !x.leaseEnd.Before(r.end):
+			reason = registrar.EndDone
+			if r.willFail {
+				reason = registrar.EndFailed
+			}
+		case x.leaseEnd.Before(w.Now()):
+			reason = registrar.EndLeaseExpired
+		}
+		if reason != 0 {
+			w.endRun(x, id, r, reason)
+		}
+	}
+}
+
+// endRun removes a run from a worker and adds its end to the worker's reports.
+func (w *simCluster) endRun(x *fakeWorker, id registrar.TaskID, r fakeRun, reason registrar.EndReason) {
+	delete(x.runs, id)
+	x.lastEnd++
+	x.unackedEnds = append(x.unackedEnds, messenger.EndReport{Number: x.lastEnd, End: registrar.End{Task: id, Run: r.number, Reason: reason}})
+	w.outcomes[reason.String()]++
+}
+
+// handleOrder delivers an order to a worker, subject to faults.
+func (w *simCluster) handleOrder(o messenger.Order) {
+	x := w.workers[o.Worker]
+	if x != nil && o.Kind == messenger.StartRun && !x.drainAckedAt.IsZero() && o.At.Sub(x.drainAckedAt) > drainTime {
+		w.t.Fatalf("%v: a start is ordered on %s %v after its drain was acknowledged", o.Task, x.ID, o.At.Sub(x.drainAckedAt))
+	}
+	reply := messenger.OrderReply{Order: o}
+	answer := func(after time.Duration, v messenger.Verdict, clock int64) {
+		w.After(after, func() {
+			reply.Verdict, reply.Clock = v, clock
+			w.deliver(reply)
+		})
+	}
+	switch {
+	case x != nil && x.refuses:
+		answer(callDelay, messenger.NotSent, 0)
+	case x == nil || x.gone || x.unreachable || x.dropsOrders:
+		answer(700*time.Millisecond, messenger.Unanswered, 0)
+	case w.r.Float64() < w.faults.lateOrders:
+		answer(700*time.Millisecond, messenger.Unanswered, 0)
+		w.After(time.Duration(2+w.r.IntN(10))*time.Second, func() { w.executeOrder(x, o) })
+	default:
+		v := w.executeOrder(x, o)
+		if w.r.Float64() < w.faults.lostAnswers {
+			answer(700*time.Millisecond, messenger.Unanswered, 0)
+			return
+		}
+		answer(callDelay, v, w.clock())
+	}
+}
+
+// executeOrder executes an order by the platform's rules for workers: fencing tokens, leases and run numbers.
+func (w *simCluster) executeOrder(x *fakeWorker, o messenger.Order) messenger.Verdict {
+	if x.gone || x.unreachable {
+		return messenger.Unanswered
+	}
+	w.endDueRuns(x)
+	if o.Fence < x.highestFence {
+		return messenger.RejectedFence
+	}
+	x.highestFence = o.Fence
+	if o.Kind == messenger.StopRun {
+		r, ok := x.runs[o.Task]
+		if ok && r.number == o.Run {
+			w.endRun(x, o.Task, r, registrar.EndStopped)
+		}
+		x.highestRun[o.Task] = max(x.highestRun[o.Task], o.Run)
+		return messenger.Accepted
+	}
+	if o.Kind == messenger.ThrottleRun {
+		r, ok := x.runs[o.Task]
+		if ok && r.number == o.Run {
+			x.runs[o.Task] = r.withPace(w.Now(), o.Percent)
+		}
+		return messenger.Accepted
+	}
+	deadline := w.start.Add(time.Duration(o.Deadline) * time.Millisecond)
+	if deadline.Before(w.Now()) {
+		return messenger.RejectedLate
+	}
+	if deadline.After(x.leaseEnd) {
+		x.leaseEnd = deadline
+	}
+	r, ok := x.runs[o.Task]
+	if ok && r.number == o.Run {
+		return messenger.Accepted
+	}
+	if o.Run <= x.highestRun[o.Task] {
+		return messenger.RejectedOld
+	}
+	if w.advisor != nil && !w.isPermitted(x, o) {
+		w.advisor.rejected++
+		return messenger.RejectedTicket
+	}
+	w.startRun(x, o)
+	return messenger.Accepted
+}
+
+// startRun starts a run after checking the invariants.
+func (w *simCluster) startRun(x *fakeWorker, o messenger.Order) {
+	j, ok := w.committed.Job(o.Task.Job)
+	if !ok {
+		w.t.Fatalf("%v: the job was never submitted", o.Task)
+	}
+	step := j.Steps[o.Task.Step]
+	w.checkStart(x, o, j)
+	x.highestRun[o.Task] = max(x.highestRun[o.Task], o.Run)
+	runTime := step.Estimate * time.Duration(80+w.r.IntN(40)) / 100
+	if x.slow {
+		runTime *= 8
+	}
+	x.runs[o.Task] = fakeRun{number: o.Run, startedAt: w.Now(), end: w.Now().Add(runTime), willFail: x.failsRuns, longRunning: step.LongRunning, bestEffort: step.BestEffort, latencyTarget: step.LatencyTarget, pace: 100}
+}
+
+// checkStart fails the test if the end of the task was acknowledged or the task runs on another
+// worker, if it does not fit on the worker or requires another label, or if its dependencies are not done.
+func (w *simCluster) checkStart(x *fakeWorker, o messenger.Order, j registrar.Job) {
+	label := j.Steps[o.Task.Step].Requires
+	if label != "" && !slices.Contains(x.Labels, label) {
+		w.t.Fatalf("%v requires the label %q and starts on %s, which has %v", o.Task, label, x.ID, x.Labels)
+	}
+	if w.ackedTasks[o.Task] {
+		w.t.Fatalf("%v run %d starts although its task is done", o.Task, o.Run)
+	}
+	for _, other := range w.workers {
+		if other.gone || other == x {
+			continue
+		}
+		w.endDueRuns(other)
+		r, ok := other.runs[o.Task]
+		if ok {
+			w.t.Fatalf("%v runs twice: run %d on %s and run %d on %s, %v after the start of the simulation", o.Task, r.number, other.ID, o.Run, x.ID, w.Now().Sub(w.start))
+		}
+	}
+	used := registrar.Resources{}
+	for id := range x.runs {
+		otherJob, _ := w.committed.Job(id.Job)
+		used = used.Add(otherJob.Steps[id.Step].Request())
+	}
+	if !x.Capacity.Sub(used).Fits(j.Steps[o.Task.Step].Request()) {
+		w.t.Fatalf("%v does not fit on %s", o.Task, x.ID)
+	}
+	occurrence, isOpen := j.Occurrence(o.Task.Occurrence)
+	if isOpen && !occurrence.IsReady(j.Steps[o.Task.Step]) {
+		w.t.Fatalf("%v starts before the steps that it depends on are done", o.Task)
+	}
+}
+
+// handleHold delivers a hold to a worker: it renews the lease, drops acknowledged ends and
+// schedules the report. A lost hold has no effect on the worker.
+func (w *simCluster) handleHold(h messenger.Hold) {
+	x := w.workers[h.Worker]
+	if x != nil && x.refuses {
+		w.After(callDelay, func() { w.deliver(messenger.HoldReply{Hold: h, Refused: true}) })
+		return
+	}
+	if x == nil || x.gone || x.unreachable || w.r.Float64() < w.faults.lostAnswers {
+		w.After(h.Wait+700*time.Millisecond, func() { w.deliver(messenger.HoldReply{Hold: h}) })
+		return
+	}
+	w.endDueRuns(x)
+	if h.Fence < x.highestFence {
+		w.After(callDelay, func() {
+			w.deliver(messenger.HoldReply{Hold: h, Fenced: true})
+		})
+		return
+	}
+	x.highestFence = h.Fence
+	if h.Deadline > 0 {
+		until := w.start.Add(time.Duration(h.Deadline) * time.Millisecond)
+		if until.After(x.leaseEnd) {
+			x.leaseEnd = until
+		}
+	}
+	for len(x.unackedEnds) > 0 && x.unackedEnds[0].Number <= h.Acked {
+		if x.unackedEnds[0].Reason == registrar.EndDone {
+			w.ackedTasks[x.unackedEnds[0].Task] = true
+		}
+		x.unackedEnds = x.unackedEnds[1:]
+	}
+	w.answerHold(x, h, w.Now().Add(h.Wait))
+}
+
+// answerHold answers a hold once the worker has an end to report, or at time until.
+func (w *simCluster) answerHold(x *fakeWorker, h messenger.Hold, until time.Time) {
+	w.endDueRuns(x)
+	if len(x.unackedEnds) == 0 && w.Now().Before(until) && !x.gone && !x.unreachable {
+		w.After(5*time.Millisecond, func() { w.answerHold(x, h, until) })
+		return
+	}
+	if x.refuses { // its end closed the connection
+		w.After(callDelay, func() { w.deliver(messenger.HoldReply{Hold: h}) })
+		return
+	}
+	reply := messenger.HoldReply{Hold: h, OK: !x.gone && !x.unreachable, Incarnation: x.Incarnation, Clock: w.clock()}
+	for id, r := range x.runs {
+		percent := int(100 * w.Now().Sub(r.startedAt) / max(r.end.Sub(r.startedAt), 1))
+		if r.longRunning {
+			percent = 0
+		}
+		if r.longRunning && w.Now().Sub(r.startedAt) > 900*time.Millisecond {
+			percent = 100 // a long-running task is ready after 900 ms
+		}
+		reply.Running = append(reply.Running, messenger.RunReport{Task: id, Run: r.number, Percent: percent, Measurement: int(w.tailLatency(x, r).Milliseconds())})
+	}
+	reply.Ended = slices.Clone(x.unackedEnds[:min(len(x.unackedEnds), maxListedEnds)])
+	reply.Partial = len(reply.Ended) == maxListedEnds
+	w.After(callDelay, func() { w.deliver(reply) })
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -356,9 +356,8 @@
 		number := max(task.Run+1, gangRun)
 		p.starts = append(p.starts, registrar.Start{Task: id, Run: number, Worker: target.ID, Incarnation: target.Incarnation, Term: term})
 		r := newRun(c.job, id, number)
-		r.incarnation = target.Incarnation
+		r.incarnation, r.expectedRunTime = target.Incarnation, c.expectedRunTime
 		r.late = c.late && !step.LongRunning
-		r.expectedRunTime = c.expectedRunTime
 		r.adviceTicket = p.advice.steps[c.stepID()].validTicket(p.now, *target.worker)
 		p.runs = append(p.runs, r)
 	}
