scheduler, replicator: simulated restarts, late departures and replacements by seed

Evidence: 10 seeds of the four new rows of TestFaultInjection and 40 of TestReplaceVotersChaos pass.

--- a/replicator/elastic_test.go
+++ b/replicator/elastic_test.go
@@ -156,3 +156,67 @@
 		})
 	}
 }
+
+// TestReplaceVotersChaos replaces, terminates and crashes nodes at random, never more at once than a group of three
+// tolerates, and checks after each round that the group commits.
+func TestReplaceVotersChaos(t *testing.T) {
+	tests := map[string]struct{ messageFaultRate float64 }{
+		"reliable network": {},
+		"lossy network":    {messageFaultRate: 0.02},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(*seeds) {
+				s := newElasticSim(seed + 500)
+				s.messageFaultRate = tt.messageFaultRate
+				live := slices.Clone(s.names)
+				for round := range 8 {
+					live = s.replaceOrCrash(live)
+					s.RunFor(catchup)
+					s.checkCommits(round)
+				}
+				must.SliceEmpty(t, s.violations)
+			}
+		})
+	}
+}
+
+// replaceOrCrash replaces one or two nodes by new ones that have had time to catch up, or crashes one for a while. It
+// returns the nodes that are left.
+func (s *sim) replaceOrCrash(live []string) []string {
+	s.rand.Shuffle(len(live), func(i, k int) { live[i], live[k] = live[k], live[i] })
+	n := s.rand.IntN(3)
+	if n == 0 {
+		s.crash(live[0])
+		s.RunFor(time.Duration(s.rand.IntN(3000)) * time.Millisecond)
+		s.restart(live[0])
+		return live
+	}
+	for range n {
+		name := fmt.Sprintf("n%d", len(s.names))
+		s.join(name)
+		live = append(live, name)
+	}
+	s.RunFor(catchup + 500*time.Millisecond)
+	for range n {
+		s.terminate(live[0])
+		live = live[1:]
+		s.RunFor(time.Duration(s.rand.IntN(2000)) * time.Millisecond)
+	}
+	return live
+}
+
+// checkCommits reports a violation if the group does not commit a proposal.
+func (s *sim) checkCommits(round int) {
+	leader := s.leader()
+	if leader == "" {
+		s.reportViolation("round %d: no leader", round)
+		return
+	}
+	proposalID := s.propose(leader)
+	s.RunFor(2 * time.Second)
+	_, committed := s.acked[proposalID]
+	if !committed && s.leader() == leader {
+		s.reportViolation("round %d: a proposal is not committed", round)
+	}
+}
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -224,3 +224,52 @@
 	reply.Partial = len(reply.Ended) == maxListedEnds
 	w.After(callDelay, func() { w.deliver(reply) })
 }
+
+// restartRandomWorker restarts a random worker in place, as planned or after a crash.
+func (w *simCluster) restartRandomWorker() {
+	var candidates []string
+	for id, x := range w.workers {
+		if !x.gone && !x.unreachable && !x.Draining {
+			candidates = append(candidates, id)
+		}
+	}
+	if len(candidates) == 0 {
+		return
+	}
+	slices.Sort(candidates)
+	x := w.workers[candidates[w.r.IntN(len(candidates))]]
+	if w.r.IntN(2) == 0 {
+		w.restartAfter(x, w.randomDelay(3*time.Second))
+		return
+	}
+	x.Draining = true
+	w.After(heartbeatInterval+drainTime+w.randomDelay(2*time.Second), func() { w.leave(x) })
+}
+
+// leave ends a worker that drains: it announces its departure and restarts in place later.
+func (w *simCluster) leave(x *fakeWorker) {
+	if x.gone {
+		return
+	}
+	delay := callDelay
+	if w.r.Float64() < w.faults.lateDepartures {
+		delay = w.randomDelay(8 * time.Second)
+	}
+	w.After(delay, func() { w.call(messenger.Departure{Worker: x.ID}, func(messenger.JobAnswer) {}) })
+	w.restartAfter(x, time.Second+w.randomDelay(3*time.Second))
+}
+
+// restartAfter ends a worker and starts its next process after a delay, unless its machine has left meanwhile.
+func (w *simCluster) restartAfter(x *fakeWorker, delay time.Duration) {
+	w.endWorker(x)
+	w.After(delay, func() {
+		m := w.machines[x.machine]
+		if m.Machine.Worker == x.ID && m.State == messenger.MachineUp {
+			w.restartWorker(x)
+		}
+	})
+}
+
+func (w *simCluster) randomDelay(limit time.Duration) time.Duration {
+	return time.Duration(w.r.Int64N(int64(limit)))
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -33,6 +33,12 @@
 		"a rack becomes unreachable and the leader changes": {
 			faults: faults{rackSilentAt: 4 * time.Second, leaderChangeEvery: 8 * time.Second, lateOrders: 0.05}, minComplete: 1,
 		},
+		"workers restart in place":                          {faults: faults{restartEvery: 700 * time.Millisecond}, minComplete: 1},
+		"workers restart and their departures are late":     {faults: faults{restartEvery: 700 * time.Millisecond, lateDepartures: 0.5}, minComplete: 1},
+		"workers restart amid late orders and lost answers": {faults: faults{restartEvery: 700 * time.Millisecond, lateDepartures: 0.5, lateOrders: 0.1, lostAnswers: 0.05}, minComplete: 1},
+		"workers restart and the leader changes": {
+			faults: faults{restartEvery: 700 * time.Millisecond, lateDepartures: 0.5, lateOrders: 0.05, lostAnswers: 0.05, leaderChangeEvery: 3 * time.Second}, minComplete: 1,
+		},
 		"some workers fail every run": {faults: faults{failingWorkers: 0.1}, minComplete: 0.9},
 	}
 	for name, tt := range tests {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -62,6 +62,8 @@
 	rackSilentAt      time.Duration // when the workers of one rack become unreachable; zero: never
 	interference      float64       // rise of a run's tail latency for each best-effort run at full pace on its worker, as a share of its latency target
 	leaderChangeEvery time.Duration // interval between leader changes; zero: none
+	restartEvery      time.Duration // interval between restarts in place of a worker, as planned or after a crash; zero: none
+	lateDepartures    float64       // rate of departures that arrive up to 8 seconds late
 }
 
 // fakeMachine is a machine of the simulated provider.
@@ -143,6 +145,9 @@
 	if f.leaderChangeEvery > 0 {
 		w.Every(f.leaderChangeEvery, w.changeLeader)
 	}
+	if f.restartEvery > 0 {
+		w.Every(f.restartEvery, w.restartRandomWorker)
+	}
 	if f.rackSilentAt > 0 {
 		w.After(f.rackSilentAt, w.silenceRack)
 	}
