replicator: voters know the learners, and a stopping voter does not keep the leadership

A node that had restarted knew no learners when it became the leader (they announce themselves only after 3 s without one). A voter that was about to stop could be elected and ended as the leader without handing anything over.

Change: the leader names the learners that answer it to each voter once a second, and to its successor. A leader that is about to stop passes the leadership on. A stopping process waits up to 2 s instead of 1 s, since an election may be needed.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -51,7 +51,7 @@
 	requestRingSize = 1024  // maximum number of calls that wait for the scheduler
 	controlRingSize = 16384 // maximum number of other messages that wait for a stage
 
-	handOverTimeout = time.Second // maximum time that Stop waits until other nodes have the leadership and the vote
+	handOverTimeout = 2 * time.Second // maximum time that Stop waits until other nodes have the leadership and the vote
 
 	readHeaderTimeout = 5 * time.Second
 )
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -146,6 +146,7 @@
 		Failed:   m.Failed,
 		Passed:   m.Forwarded,
 		Beat:     m.HeartbeatOnly,
+		Learners: m.Learners,
 		Stopping: m.Stopping,
 		Resigned: m.LeaderTransfer,
 	}
@@ -186,6 +187,7 @@
 		Failed:         m.GetFailed(),
 		Forwarded:      m.GetPassed(),
 		HeartbeatOnly:  m.GetBeat(),
+		Learners:       m.GetLearners(),
 		Stopping:       m.GetStopping(),
 		LeaderTransfer: m.GetResigned(),
 	}
--- a/replicator/elastic.go
+++ b/replicator/elastic.go
@@ -1,6 +1,9 @@
 package replicator
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // maxPromotionLag is the maximum number of committed entries that a learner of a
 // group with dynamic membership may lack when it becomes a voter. It is above zero
@@ -25,6 +28,22 @@
 	return s
 }
 
+// learnersInterval is the time after which the leader names the learners to a voter again.
+const learnersInterval = time.Second
+
+// answeringLearners returns the learners that have answered the leader within FreshFor. Voters need to know them: a
+// voter that restarted and became the leader would otherwise find no learner to replace another voter.
+func (t *transition[C, S, R]) answeringLearners() []string {
+	s := t.state
+	var names []string
+	for _, p := range s.peers {
+		if !s.isMember(p.name, p.diskID) && t.now.Sub(p.ackedAt) < s.cfg.FreshFor {
+			names = append(names, p.name)
+		}
+	}
+	return names
+}
+
 // withMembersAsPeers adds the voters of the latest membership to the peers of a group with
 // dynamic membership, since its configuration need not list them.
 func (s State[C, S, R]) withMembersAsPeers() State[C, S, R] {
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -15,25 +15,27 @@
 // transferLeadership makes a resigning leader step down once another voter has the
 // whole log, and asks that voter to start an election. A voter that lacks entries could
 // lose the election, which would leave the group without a leader. A voter that is about to
-// stop is asked only if there is no other. Only the leader of a term can hold a lease in it,
-// so after it has stepped down voters need not wait for the lease to expire.
+// stop is asked only if there is no other, and not by a leader that was elected while it is
+// about to stop itself. Only the leader of a term can hold a lease in it, so after it has
+// stepped down voters need not wait for the lease to expire.
 func (t *transition[C, S, R]) transferLeadership() {
 	s := t.state
-	if s.role != Leader || !s.resigning {
+	if s.role != Leader || !s.stopping {
 		return
 	}
 	successor := ""
 	for _, p := range s.peers {
 		eligible := s.isMember(p.name, p.diskID) && p.matchIndex == s.lastIndex() && t.now.Sub(p.ackedAt) < s.cfg.ElectionTimeout
-		if eligible && (successor == "" || !p.stopping) {
+		if eligible && (!p.stopping || (successor == "" && s.resigning)) {
 			successor = p.name
 		}
 	}
 	if successor == "" {
 		return
 	}
+	learners := t.answeringLearners()
 	t.becomeFollower(s.term, "")
-	t.send(Message[C, S, R]{Kind: TimeoutNow, To: successor})
+	t.send(Message[C, S, R]{Kind: TimeoutNow, To: successor, Learners: learners})
 }
 
 // handleTimeoutNow starts an election at once if the leader of the current term asks for it.
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -82,11 +82,12 @@
 	ProposalID     uint64    // Propose and ProposeReply: proposer's number for the command
 	Command        C
 	Result         R
-	Failed         bool // ProposeReply: nothing was proposed, since the node does not lead and cannot forward the proposal, or is a leader that resigns
-	Forwarded      bool // Propose: already forwarded once, by a node that is not the leader
-	LeaderTransfer bool // Vote: requested by the leader of the previous term, which gave up its lease
-	Stopping       bool // AppendReply: the sender is about to stop, so another node should get its vote
-	HeartbeatOnly  bool // Append: heartbeat without entries, which the sender may delay briefly to batch it with other messages to the node
+	Failed         bool     // ProposeReply: nothing was proposed, since the node does not lead and cannot forward the proposal, or is a leader that resigns
+	Forwarded      bool     // Propose: already forwarded once, by a node that is not the leader
+	LeaderTransfer bool     // Vote: requested by the leader of the previous term, which gave up its lease
+	Learners       []string // Append to a voter and TimeoutNow, with dynamic membership: learners that answer the leader; set only now and then
+	Stopping       bool     // AppendReply: the sender is about to stop, so another node should get its vote
+	HeartbeatOnly  bool     // Append: heartbeat without entries, which the sender may delay briefly to batch it with other messages to the node
 }
 
 // Write is a change that must be synced to disk before the messages in Effects.AfterSync are sent.
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -68,7 +68,11 @@
 		return
 	}
 	p.lastSentAt = t.now
-	m := Message[C, S, R]{To: name, Commit: s.commit, LeaseHeld: s.HoldsLease(t.now), EchoedSentAt: p.peerSentAt}
+	var learners []string
+	if s.cfg.DynamicMembership && s.isMember(p.name, p.diskID) && p.toldLearnersAt.Before(t.now.Truncate(learnersInterval)) {
+		learners, p.toldLearnersAt = t.answeringLearners(), t.now
+	}
+	m := Message[C, S, R]{To: name, Learners: learners, Commit: s.commit, LeaseHeld: s.HoldsLease(t.now), EchoedSentAt: p.peerSentAt}
 	if p.nextIndex <= s.baseIndex {
 		snapshot := s.snapshot
 		m.Kind = InstallSnapshot
--- a/replicator/state.go
+++ b/replicator/state.go
@@ -22,16 +22,17 @@
 
 // progress is the replication progress of one other node, as its leader knows it.
 type progress struct {
-	name          string
-	diskID        string
-	matchIndex    uint64    // last index known to be on the node
-	commitIndex   uint64    // last index that the node is known to have committed
-	nextIndex     uint64    // index of the next entry to send
-	ackedAt       time.Time // leader's send time of the latest message that the node answered
-	peerSentAt    time.Time // node's send time of its latest reply
-	lastSentAt    time.Time // when the leader last sent an append or a snapshot to the node
-	backtrackedAt time.Time // when a rejected append last moved nextIndex back
-	stopping      bool      // its latest reply said that it is about to stop
+	name           string
+	diskID         string
+	matchIndex     uint64    // last index known to be on the node
+	commitIndex    uint64    // last index that the node is known to have committed
+	nextIndex      uint64    // index of the next entry to send
+	ackedAt        time.Time // leader's send time of the latest message that the node answered
+	peerSentAt     time.Time // node's send time of its latest reply
+	lastSentAt     time.Time // when the leader last sent an append or a snapshot to the node
+	backtrackedAt  time.Time // when a rejected append last moved nextIndex back
+	toldLearnersAt time.Time // when the leader last named the learners to the node
+	stopping       bool      // its latest reply said that it is about to stop
 }
 
 // State is the immutable state of a node in its group.
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -144,6 +144,9 @@
 func (t *transition[C, S, R]) handleMessage(m Message[C, S, R]) {
 	s := &t.state
 	*s = s.withDiscoveredPeer(m.From)
+	for _, name := range m.Learners {
+		*s = s.withDiscoveredPeer(name)
+	}
 	if m.Term > s.term && t.adoptsTerm(m) {
 		leader := ""
 		if m.Kind == Append || m.Kind == InstallSnapshot {
