Review: a new leader overdraws the budget of a wave (case 9)

Looked for: orders that an earlier leader has sent and that are still being carried out when the next one decides.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -269,3 +270,79 @@
 	}
 	return v, nil
 }
+
+// Times and sizes of the case restart-limit.
+const (
+	limitSlow    = time.Second            // the provider takes this long for an order
+	limitRestart = 150 * time.Millisecond // from the arrival of the first order until the leader is restarted
+	limitWait    = 40 * time.Second
+)
+
+// playRestartLimit starts a wave in which one machine may be down at a time. The leader is restarted while its first
+// order is being carried out. The rule LIMIT allows no upkeep to begin while another machine of the wave is down.
+func playRestartLimit(rec *record, trouble bool) (verdict, error) {
+	s, err := newSystem(rec, 6)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return verdict{}, err
+	}
+	s.fleet.mu.Lock()
+	s.provider.wave, s.provider.limit, s.provider.slow = []string{machineName(0), machineName(1), machineName(2)}, 1, limitSlow
+	s.fleet.mu.Unlock()
+	status, _ := s.control(http.MethodPost, "/wave-start", `{"wave":1,"machines":["m-0","m-1","m-2"],"finish_by_s":26,"max_count":1}`)
+	rec.line("operator: POST /wave-start: %d", status)
+	if status != http.StatusOK {
+		return verdict{}, fmt.Errorf("wave-start: status %d", status)
+	}
+	s.awaitOrder()
+	if trouble {
+		time.Sleep(limitRestart)
+		err = s.terminateLeader()
+		if err != nil {
+			return verdict{}, err
+		}
+	}
+	for deadline := time.Now().Add(limitWait); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		_, data := s.control(http.MethodGet, "/wave-get/1", "")
+		if strings.Contains(string(data), "complete") {
+			rec.line("operator: GET /wave-get/1: %s", data)
+			break
+		}
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if s.provider.over != "" {
+		return verdict{broken: true, text: s.provider.over}, nil
+	}
+	return verdict{text: fmt.Sprintf("%d of 3 machines had their upkeep, one at a time", len(s.provider.done))}, nil
+}
+
+// awaitOrder waits until the provider has received an order, for at most the time of a wave.
+func (s *system) awaitOrder() {
+	for deadline := time.Now().Add(limitWait); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		s.fleet.mu.Lock()
+		n := len(s.provider.orders)
+		s.fleet.mu.Unlock()
+		if n > 0 {
+			return
+		}
+	}
+}
+
+// terminateLeader sends SIGTERM to the controller that leads. It is started again once it has ended.
+func (s *system) terminateLeader() error {
+	for _, p := range s.processes[:controllers] {
+		status, _, _ := s.call(http.MethodGet, "http://"+p.ip+":8623/config", "", callTimeout)
+		if status != http.StatusOK {
+			continue // a follower redirects
+		}
+		s.rec.line("SIGTERM to %s, which leads", p.name)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.asked = true
+		return p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	return fmt.Errorf("no controller leads")
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,10 +21,11 @@
 type playCase func(rec *record, trouble bool) (verdict, error)
 
 var cases = map[string]playCase{
-	"gang-end":    playGangEnd,
-	"lost-run":    playLostRun,
-	"pending":     playPending,
-	"checkpoints": playCheckpoints,
+	"gang-end":      playGangEnd,
+	"lost-run":      playLostRun,
+	"pending":       playPending,
+	"checkpoints":   playCheckpoints,
+	"restart-limit": playRestartLimit,
 }
 
 func main() {
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -68,7 +68,8 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	stopped bool
-	ends    int // how often it ended by itself
+	asked   bool // it was sent SIGTERM, so its next end is not one by itself
+	ends    int  // how often it ended by itself
 }
 
 // system is the processes, the workers and the provider of one case.
@@ -77,6 +78,7 @@
 	folder    string
 	network   int
 	fleet     *fleet
+	provider  *provider
 	log       *os.File
 	processes []*process
 	client    *http.Client
@@ -91,6 +93,10 @@
 func findNetwork() (int, error) {
 	for n := range 200 {
 		octet := 20 + (os.Getpid()+n)%200
+		reserved, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:8600", octet)) // as the soak does, until the program ends
+		if err != nil {
+			continue
+		}
 		free := true
 		for group, count := range map[int]int{1: controllers, 2: entries} {
 			for i := range count {
@@ -107,6 +113,7 @@
 		if free {
 			return octet, nil
 		}
+		_ = reserved.Close()
 	}
 	return 0, fmt.Errorf("no free loopback network")
 }
@@ -129,12 +136,13 @@
 	if err != nil {
 		return s, fmt.Errorf("create log: %w", err)
 	}
-	provider, err := net.Listen("tcp", s.ip(4, 0)+":0")
+	s.provider = &provider{fleet: s.fleet, rec: rec, upkeep: make(map[string]bool), done: make(map[string]bool)}
+	listener, err := net.Listen("tcp", s.ip(4, 0)+":0")
 	if err != nil {
 		return s, fmt.Errorf("start provider: %w", err)
 	}
-	go func() { _ = http.Serve(provider, http.HandlerFunc(s.serveProvider)) }() // until the program ends
-	err = s.startProcesses(provider.Addr().String())
+	go func() { _ = http.Serve(listener, s.provider) }() // until the program ends
+	err = s.startProcesses(listener.Addr().String())
 	if err != nil {
 		return s, err
 	}
@@ -208,10 +216,11 @@
 		_ = cmd.Wait() // the state is read below
 		p.mu.Lock()
 		stopped := p.stopped
-		if !stopped {
+		if !stopped && !p.asked {
 			p.ends++
 			s.rec.line("%s ENDS BY ITSELF: %s, end %d", p.name, cmd.ProcessState, p.ends)
 		}
+		p.asked = false
 		p.mu.Unlock()
 		if stopped {
 			return
@@ -244,30 +253,6 @@
 	_ = os.RemoveAll(s.folder)
 }
 
-// serveProvider lists one machine for each worker. It refuses orders for machines, of which the cases need none.
-func (s *system) serveProvider(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet || r.URL.Path != "/machines" {
-		w.WriteHeader(http.StatusConflict)
-		_, _ = io.WriteString(w, `{"reason":"busy"}`)
-		return
-	}
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	machines := []any{}
-	for n, worker := range s.fleet.all {
-		state := "up"
-		if !worker.alive {
-			state = "down"
-		}
-		machines = append(machines, map[string]any{
-			"machine": fmt.Sprintf("m-%d", n), "pool": "a", "state": state, "zone": "z1", "labels": []string{"a", worker.rack},
-			"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemory, "gpu": 0}, "id": worker.id,
-		})
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"machines": machines, "next_token": nil}) // the caller may have gone
-}
-
 func (s *system) sendHeartbeats(w *worker) {
 	for {
 		body := w.heartbeat()
