--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -119,7 +119,7 @@
 	s.fleet.mu.Unlock()
 	rec.line("%s lists an entry of another writer beside its runs", w.id)
 	if trouble {
-		w.crash()
+		w.crash(false)
 		time.Sleep(lostRunCrash)
 		err = w.restart()
 		if err != nil {
@@ -228,7 +228,7 @@
 )
 
 // playCheckpoints crashes the worker of one member of a gang that checkpoints its progress. The pages ask that all
-// members of a run start with the same checkpoint, and it has to be one of the gang's.
+// members of a run start with the same checkpoint.
 func playCheckpoints(rec *record, trouble bool) (verdict, error) {
 	s, err := newSystem(rec, 7)
 	if s != nil {
@@ -245,7 +245,7 @@
 	time.Sleep(checkpointsBefore)
 	if trouble {
 		w := s.busiest()
-		w.crash()
+		w.crash(false)
 		time.Sleep(checkpointsCrash)
 		err = w.restart()
 		if err != nil {
@@ -346,3 +346,98 @@
 	}
 	return fmt.Errorf("no controller leads")
 }
+
+// Times and sizes of the case restart-evict.
+const (
+	evictJobs    = 6
+	evictRounds  = 7
+	evictRestart = 250 * time.Millisecond // from the first stop of a wave until the leader is restarted
+	evictRound   = 11 * time.Second
+	evictShort   = 120 * time.Millisecond // between two short jobs
+)
+
+// playRestartEvict keeps jobs that last at work beside short ones, and starts a maintenance wave again and again. Each
+// time, the leader is restarted while it moves tasks off the machines. The rule AVAIL allows no order to end a task of a
+// step with may_miss while so many others of the step are away.
+func playRestartEvict(rec *record, trouble bool) (verdict, error) {
+	s, err := newSystem(rec, 10)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return verdict{}, err
+	}
+	for n := range evictJobs {
+		err = s.submit(jobID(n), step{count: 5, cpu: 700, lasts: true, mayMiss: 1, work: time.Second})
+		if err != nil {
+			return verdict{}, err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	done := make(chan struct{})
+	defer close(done)
+	go s.submitShortJobs(done)
+	for round := 1; round <= evictRounds; round++ {
+		end := time.Now().Add(evictRound)
+		err = s.playEviction(round, trouble)
+		if err != nil {
+			return verdict{}, err
+		}
+		time.Sleep(time.Until(end))
+		s.fleet.mu.Lock()
+		over := s.fleet.overBudget
+		s.fleet.mu.Unlock()
+		if over != "" {
+			return verdict{broken: true, text: fmt.Sprintf("wave %d: %s", round, over)}, nil
+		}
+	}
+	return verdict{text: fmt.Sprintf("no budget was overdrawn in %d waves", evictRounds)}, nil
+}
+
+// submitShortJobs hands in short jobs until done is closed.
+func (s *system) submitShortJobs(done chan struct{}) {
+	for n := 100; ; n++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(evictShort):
+		}
+		_ = s.submit(jobID(n), step{count: 1 + n%4, cpu: 900, work: time.Duration(300+n*137%1200) * time.Millisecond}) // one that is refused is not missed
+	}
+}
+
+// playEviction starts a wave of half of the machines, and restarts the leader after its first stop.
+func (s *system) playEviction(wave int, trouble bool) error {
+	var names []string
+	s.fleet.mu.Lock()
+	for n := range s.fleet.all {
+		if (n+wave)%2 == 0 {
+			names = append(names, machineName(n))
+		}
+	}
+	s.provider.wave, s.provider.limit, s.provider.done = names, len(names), make(map[string]bool)
+	stops := s.fleet.stops
+	s.fleet.mu.Unlock()
+	list, err := json.Marshal(names)
+	if err != nil {
+		return fmt.Errorf("encode wave: %w", err)
+	}
+	status, _ := s.control(http.MethodPost, "/wave-start", fmt.Sprintf(`{"wave":%d,"machines":%s,"finish_by_s":26,"max_count":1}`, wave, list))
+	s.rec.line("operator: POST /wave-start of wave %d, %s: %d", wave, list, status)
+	if status != http.StatusOK {
+		return fmt.Errorf("wave-start: status %d", status)
+	}
+	for deadline := time.Now().Add(evictRound / 2); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		s.fleet.mu.Lock()
+		stopped := s.fleet.stops > stops
+		s.fleet.mu.Unlock()
+		if stopped {
+			break
+		}
+	}
+	if !trouble {
+		return nil
+	}
+	time.Sleep(evictRestart)
+	return s.terminateLeader()
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -9,8 +9,13 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+const maxTime = 115 * time.Second // a case may run for 120 s
+
 // verdict is the result of a case.
 type verdict struct {
 	broken bool
@@ -25,6 +30,7 @@
 	"lost-run":      playLostRun,
 	"pending":       playPending,
 	"checkpoints":   playCheckpoints,
+	"restart-evict": playRestartEvict,
 	"restart-limit": playRestartLimit,
 }
 
@@ -46,6 +52,17 @@
 		fmt.Fprintln(os.Stderr, "no such case:", name)
 		return 2
 	}
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-stops:
+		case <-time.After(maxTime):
+		}
+		rec.line("could not run: stopped early or too late")
+		killAll()
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.line("case %s, with its disruption: %t", name, trouble)
 	v, err := c(rec, trouble)
--- a/review/standin-2/provider.go
+++ b/review/standin-2/provider.go
@@ -17,7 +17,7 @@
 type provider struct {
 	fleet  *fleet
 	rec    *record
-	wave   []string        // machines of the wave
+	wave   []string        // machines of the waves
 	limit  int             // how many of them may be down for their upkeep at once
 	slow   time.Duration   // time from the arrival of an order for upkeep until it is carried out and answered
 	upkeep map[string]bool // machines that are down for their upkeep
@@ -106,7 +106,7 @@
 
 // restartLater ends the worker of a machine and starts it again after its upkeep.
 func (p *provider) restartLater(w *worker, name string) {
-	w.crash()
+	w.crash(true)
 	time.Sleep(upkeepTime)
 	p.fleet.mu.Lock()
 	delete(p.upkeep, name)
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -73,12 +73,17 @@
 	w.endCount, w.seq = 0, 0
 }
 
-// crash ends the process of the worker with all its runs.
-func (w *worker) crash() {
+// crash ends the process of the worker with all its runs, on an order of the system or not.
+func (w *worker) crash(ordered bool) {
 	w.proxy.close()
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	w.fleet.rec.line("%s crashes with %d runs", w.id, len(w.runs))
+	w.fleet.rec.line("%s ends with %d runs", w.id, len(w.runs))
+	for _, r := range w.runs {
+		if ordered {
+			w.fleet.countAway(r)
+		}
+	}
 	w.alive = false
 	lost := w.runs
 	w.runs, w.ended = make(map[string]*run), nil
@@ -237,6 +242,7 @@
 		r.stopAt = time.Now().Add(stopTime / 2)
 	}
 	w.highest[o.Task] = max(w.highest[o.Task], o.Run)
+	w.fleet.stops++
 	w.fleet.rec.line("%s: stop of %s run %d, fence %d", w.id, o.Task, o.Run, o.Fence)
 	w.answer(rw, http.StatusOK, nil)
 }
@@ -259,6 +265,12 @@
 	now := time.Now()
 	for task, r := range w.runs {
 		percent := min(99, int(100*r.progress(now)/r.step.work))
+		if r.step.lasts {
+			percent = 0
+		}
+		if r.isAtWork(now) {
+			percent = 100
+		}
 		running = append(running, []any{task, r.number, r.saved, percent, r.step.cpu})
 	}
 	ended := []any{}
