scheduler: no start order for a task that has ended

Cause: the success of one member ends the gang and the job, whose steps are dropped. The run of the silent worker still had an unconfirmed start, and sendStart read the step of the ended job: a panic in every step from then on.

Change: a start order is sent only while the committed state assigns the run to the worker and the job is active. Otherwise the run is withdrawn: ended if no order can have arrived, else stopped at its worker, which needs no definition of the job.

The simulated cluster now fails any test that orders a start which is not assigned.

--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -35,6 +35,23 @@
 	w.outcomes[reason.String()]++
 }
 
+// checkOrder fails the test if a start is ordered that the committed state does not assign to the worker.
+func (w *simCluster) checkOrder(o messenger.Order) {
+	if o.Kind != messenger.StartRun {
+		return
+	}
+	task, ok := registrar.Task{}, false
+	j, _ := w.committed.Job(o.Task.Job)
+	for _, occurrence := range j.ActiveOccurrences {
+		if occurrence.Number == o.Task.Occurrence {
+			task, ok = occurrence.Task(o.Task)
+		}
+	}
+	if !ok || j.Outcome != registrar.Active || task.Phase != registrar.Running || task.Run != o.Run || task.Worker != o.Worker {
+		w.t.Fatalf("%v run %d is ordered on %s, but its task is not assigned to it", o.Task, o.Run, o.Worker)
+	}
+}
+
 // handleOrder delivers an order to a worker, subject to faults.
 func (w *simCluster) handleOrder(o messenger.Order) {
 	x := w.workers[o.Worker]
@@ -58,7 +75,7 @@
 		w.After(time.Duration(2+w.r.IntN(10))*time.Second, func() { w.executeOrder(x, o) })
 	default:
 		v := w.executeOrder(x, o)
-		if w.r.Float64() < w.faults.lostAnswers {
+		if x.losesAnswers || w.r.Float64() < w.faults.lostAnswers {
 			answer(700*time.Millisecond, messenger.Unanswered, 0)
 			return
 		}
@@ -171,7 +188,7 @@
 		w.After(callDelay, func() { w.deliver(messenger.HoldReply{Hold: h, Refused: true}) })
 		return
 	}
-	if x == nil || x.gone || x.unreachable || w.r.Float64() < w.faults.lostAnswers {
+	if x == nil || x.gone || x.unreachable || x.losesAnswers || w.r.Float64() < w.faults.lostAnswers {
 		w.After(h.Wait+700*time.Millisecond, func() { w.deliver(messenger.HoldReply{Hold: h}) })
 		return
 	}
@@ -205,7 +222,7 @@
 		w.After(5*time.Millisecond, func() { w.answerHold(x, h, until) })
 		return
 	}
-	if x.refuses { // its end closed the connection
+	if x.refuses || x.losesAnswers { // its end closed the connection, or the answer is lost
 		w.After(callDelay, func() { w.deliver(messenger.HoldReply{Hold: h}) })
 		return
 	}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -44,18 +44,22 @@
 	return registrar.Task{}, false
 }
 
-// sendStart sends a start order, which also renews the worker's lease, or withdraws the run if the
-// worker may not start it any more. It sends nothing if the job or the clock of the worker is
+// sendStart sends a start order, which also renews the worker's lease, or withdraws the run if it is no longer
+// assigned to the worker or the worker may not start it any more. It sends nothing if the clock of the worker is
 // unknown, if a call to the worker has failed since its last report, or without a valid leader lease.
 func (t *transition) sendStart(id string, r run) {
 	w, _ := t.workers.Get(id)
-	j, ok := t.committed.Job(r.task.Job)
-	if ok && !w.mayStart(r, j.Steps[r.task.Step]) {
-		t.withdraw(w, r)
+	if !t.isAssigned(id, r) {
+		t.withdraw(w, r, "its task or its job has ended")
+		return
+	}
+	j, _ := t.committed.Job(r.task.Job)
+	if !w.mayStart(r, j.Steps[r.task.Step]) {
+		t.withdraw(w, r, "its worker may not start it any more")
 		return
 	}
 	deadline := w.leaseDeadline(t.now, t.cfg.MaxLease)
-	if !ok || deadline == 0 || w.failedCalls > 0 || !t.holdsLeaderLease(t.now) {
+	if deadline == 0 || w.failedCalls > 0 || !t.holdsLeaderLease(t.now) {
 		return
 	}
 	r.orderPending, r.orderSentAt = true, t.now
@@ -67,6 +71,18 @@
 	})
 }
 
+// isAssigned reports whether the committed state assigns a run to a worker and the job of the run is active. A task or
+// a job can end while the start of one of its runs is unconfirmed: the success of one member ends a whole gang. A job
+// that has ended has no steps any more.
+func (t *transition) isAssigned(worker string, r run) bool {
+	j, ok := t.committed.Job(r.task.Job)
+	if !ok || j.Outcome != registrar.Active {
+		return false
+	}
+	task, ok := t.task(r.task)
+	return ok && task.Phase == registrar.Running && task.Run == r.number && task.Worker == worker
+}
+
 // mayStart reports whether the conditions of a run's placement still hold: the worker has not restarted since, does
 // not drain and has the label that the step requires.
 func (w worker) mayStart(r run, step registrar.Step) bool {
@@ -75,12 +91,12 @@
 
 // withdraw ends a run whose start is not confirmed. The run is stopped if one of its start orders may still be
 // executed, also by the next process of the worker: the worker then rejects such an order.
-func (t *transition) withdraw(w worker, r run) {
+func (t *transition) withdraw(w worker, r run, reason string) {
 	if !r.startUncertain {
 		t.proposeEnd(w.ID, r, registrar.EndLost)
 		return
 	}
-	t.stop(w, r, "its worker may not start it any more")
+	t.stop(w, r, reason)
 }
 
 // sendStop sends one stop order. Repeating it is up to the caller.
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -99,6 +99,7 @@
 	lastEnd      int64                    // number of the last end
 	dropsOrders  bool                     // it gets no orders and answers none, but sends heartbeats and reports
 	drainAckedAt time.Time                // when its drain was acknowledged; zero: it was not
+	losesAnswers bool                     // it executes orders, but its answers to orders and holds are lost
 	unreachable  bool                     // it gets no calls and sends no heartbeats, but its runs go on
 	gone         bool                     // ended; a machine in a move or a maintenance answers nothing
 	refuses      bool                     // ended, and its machine refuses connections to its address
@@ -177,6 +178,7 @@
 		case messenger.ProposeJobs:
 			w.After(commitDelay, func() { w.applyProposal(term, b) })
 		case messenger.Order:
+			w.checkOrder(b)
 			w.After(callDelay, func() { w.handleOrder(b) })
 		case messenger.Hold:
 			w.After(callDelay, func() { w.handleHold(b) })
