runner: a stage fails if most of its calls panic

Callers saw: the leader of review/6 kept its lease for good while nearly each call of its scheduler panicked.

Cause: only 64 panics in a row counted as a failure. The scheduler decides nothing while it sees its lease as expired, so one call succeeded now and then and reset the count.

--- a/runner/duty.go
+++ b/runner/duty.go
@@ -20,17 +20,12 @@
 	WakeAt          func(now time.Time) time.Time  // returns when the next tick is due in the current state; nil disables ticks
 	Clock           func() time.Time               // returns the current time
 	OnPanic         func(err error)                // called when Handle or Tick panics; the message is dropped
-	OnFailure       func(err error)                // called when maxPanics calls of Handle or Tick in a row panic
+	OnFailure       func(err error)                // called when panics show that the duty cannot work any more: see panicHistory
 }
 
-const (
-	// maxPanics is the number of panics in a row after which a duty reports a failure: its state, not a single
-	// message, is the cause.
-	maxPanics = 64
-	// tickDelayAfterPanic is the wait before the next tick after a tick that panicked. The state is as it was before,
-	// so the tick would be due again at once.
-	tickDelayAfterPanic = 100 * time.Millisecond
-)
+// tickDelayAfterPanic is the wait before the next tick after a tick that panicked. The state is as it was before, so the
+// tick would be due again at once.
+const tickDelayAfterPanic = 100 * time.Millisecond
 
 // Duty is a goroutine that handles the messages of its rings one at a time.
 // Queued control messages are handled before requests.
@@ -40,7 +35,7 @@
 
 	cancel  context.CancelFunc
 	running sync.WaitGroup
-	panics  int // number of calls in a row that panicked; used by the goroutine only
+	panics  panicHistory // used by the goroutine only
 }
 
 // NewDuty returns a duty with a running goroutine. Call Stop to end it.
@@ -83,31 +78,32 @@
 // handle passes a message to Handle and resets the timer if the next tick is now due earlier.
 func (d *Duty[T]) handle(cfg Config[T], timer *tickTimer, message T) {
 	now := cfg.Clock()
-	d.guard(cfg, func() { cfg.Handle(now, message) })
+	d.guard(cfg, now, func() { cfg.Handle(now, message) })
 	timer.advance(now)
 }
 
 // tick calls Tick and sets the timer for the next tick.
 func (d *Duty[T]) tick(cfg Config[T], timer *tickTimer) {
 	now := cfg.Clock()
-	if d.guard(cfg, func() { cfg.Tick(now) }) {
+	if d.guard(cfg, now, func() { cfg.Tick(now) }) {
 		timer.scheduleNext(now)
 		return
 	}
 	timer.set(now, now.Add(tickDelayAfterPanic))
 }
 
-// guard calls f and returns false if f panicked.
-func (d *Duty[T]) guard(cfg Config[T], f func()) bool {
+// guard calls f at time now and returns false if f panicked.
+func (d *Duty[T]) guard(cfg Config[T], now time.Time, f func()) bool {
 	err := recoverer.Do(f)
 	if err == nil {
-		d.panics = 0
+		d.panics = d.panics.WithSuccess()
 		return true
 	}
-	d.panics++
+	var failed bool
+	d.panics, failed = d.panics.WithPanic(now)
 	cfg.OnPanic(err)
-	if d.panics == maxPanics {
-		cfg.OnFailure(fmt.Errorf("%d calls in a row panicked: %w", maxPanics, err))
+	if failed {
+		cfg.OnFailure(fmt.Errorf("most calls panicked: %w", err))
 	}
 	return false
 }
