scheduler, registrar: a job has begun once a worker has confirmed a start

Cause: a job counted as begun when a run of it was assigned and had ended, for whatever reason. A rejected start ends its run too.

Change: the jobs group records the first start of a job that a worker has confirmed, by an answer, a report or an end. Pending jobs and the state of a job go by this record alone. It replaces Started at the same key, which was set by an assignment: an older build reads it as a job without assignment.

Evidence: TestPendingWhileUnconfirmed fails without the change where the worker rejects starts (also after a change of leader) and, by the new check of the state, where it gets no orders.

--- a/registrar/command.go
+++ b/registrar/command.go
@@ -64,6 +64,7 @@
 	Maintenance     []MachineMaintenance `cbor:"9,keyasint,omitempty"`
 	Batch           []Command            `cbor:"11,keyasint,omitempty"` // commands in the order in which they are applied
 	Departures      []Departure          `cbor:"12,keyasint,omitempty"` // workers that announced that they end; RemovedWorkers lists them too
+	Begun           []string             `cbor:"14,keyasint,omitempty"` // IDs of jobs of which a worker has confirmed the first start
 	OrderedMachines []string             `cbor:"10,keyasint,omitempty"` // machines for which an order is sent to the provider once the command is committed
 }
 
--- a/registrar/job.go
+++ b/registrar/job.go
@@ -84,7 +84,7 @@
 	Seq               uint64       `cbor:"10,keyasint,omitempty"` // sequence number in the order of acceptance
 	Outcome           Outcome      `cbor:"11,keyasint,omitempty"`
 	EndedAt           int64        `cbor:"12,keyasint,omitempty"` // Unix nanoseconds
-	Started           bool         `cbor:"13,keyasint,omitempty"` // a run has been assigned
+	Begun             bool         `cbor:"13,keyasint,omitempty"` // a worker has started a run
 	ActiveOccurrences []Occurrence `cbor:"14,keyasint,omitempty"` // occurrences that have started and are not done
 	DoneOccurrences   map[int]bool `cbor:"15,keyasint,omitempty"` // numbers of the occurrences that are done
 	Attempts          int          `cbor:"16,keyasint,omitempty"` // number of failed runs of one task at which the job fails
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -110,36 +110,17 @@
 	return time.Unix(0, at)
 }
 
-// Pending returns the number of active jobs of a queue that are due and have not begun. A job whose tasks have all been
-// assigned once at most and have not ended may or may not have begun: mayHaveBegun tells this for the job with the given ID.
-func (s State) Pending(queue string, now time.Time, mayHaveBegun func(job string) bool) int {
+// Pending returns the number of active jobs of a queue that are due and of which no worker has started a task.
+func (s State) Pending(queue string, now time.Time) int {
 	n := 0
 	s.EachActive(func(j Job) {
-		if j.Queue != queue || j.Outcome != Active || j.DueAt(0).After(now) {
-			return
-		}
-		if !j.Started || (j.isFirstAttempt() && !mayHaveBegun(j.ID)) {
+		if j.Queue == queue && j.Outcome == Active && !j.Begun && !j.DueAt(0).After(now) {
 			n++
 		}
 	})
 	return n
 }
 
-// isFirstAttempt reports whether no run of a task of the job has ended.
-func (j Job) isFirstAttempt() bool {
-	if len(j.DoneOccurrences) > 0 {
-		return false
-	}
-	for _, o := range j.ActiveOccurrences {
-		for _, tasks := range o.Steps {
-			if slices.ContainsFunc(tasks, func(t Task) bool { return t.Run > 1 || (t.Run == 1 && t.Phase != Running) }) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // Apply returns the state after a command, and the result of the command. at is the timestamp
 // of the log entry.
 func (s State) Apply(at time.Time, c Command) (State, Result) {
@@ -161,6 +142,9 @@
 	for _, start := range c.Starts {
 		s = s.withStart(at, start)
 	}
+	for _, id := range c.Begun {
+		s = s.withBegun(id)
+	}
 	for _, end := range c.Ends {
 		s = s.withEnd(at, end)
 	}
@@ -270,11 +254,20 @@
 		t.Checkpoint = start.Checkpoint
 	}
 	j = j.withOccurrence(o.withTask(start.Task.Step, start.Task.Index, t))
-	j.Started = true
 	j.Running++
 	return s.withJob(j)
 }
 
+// withBegun records that a worker has started a run of a job.
+func (s State) withBegun(id string) State {
+	j, ok := s.Job(id)
+	if !ok || j.Begun || j.Outcome != Active {
+		return s
+	}
+	j.Begun = true
+	return s.withJob(j)
+}
+
 // withEnd records the end of the last run of a task, and the outcome of the job if that ends
 // too. It ignores the end of an earlier run.
 func (s State) withEnd(at time.Time, end End) State {
@@ -295,6 +288,7 @@
 	if doneAfterLoss {
 		j.Running++ // the recorded end has already subtracted the run, which is subtracted again below
 	}
+	j.Begun = j.Begun || end.Reason != EndLost // a worker reports the ends of runs that it has started
 	t.Phase = Waiting
 	if end.Checkpoint != "" {
 		t.Checkpoint = end.Checkpoint
--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -145,3 +145,45 @@
 		})
 	}
 }
+
+// TestPending guards against an attempt that is counted as a start: only jobs of which a worker has started a task are
+// not pending any more.
+func TestPending(t *testing.T) {
+	submit := Command{Submit: newJob(Step{Count: 1})}
+	start := func(run int) Command {
+		return Command{Starts: []Start{{Task: taskID(0, 0), Run: run, Worker: "w"}}}
+	}
+	end := func(run int, reason EndReason) Command {
+		return Command{Ends: []End{{Task: taskID(0, 0), Run: run, Reason: reason}}}
+	}
+	begun := Command{Begun: []string{"j", "unknown"}}
+	scheduled := newJob(Step{Count: 1})
+	scheduled.OccurrenceCount, scheduled.FirstDue = 1, startTime.Add(time.Minute).UnixMilli()
+	tests := map[string]struct {
+		commands []Command
+		pending  int
+	}{
+		"submitted":                        {commands: []Command{submit}, pending: 1},
+		"not due":                          {commands: []Command{{Submit: scheduled}}},
+		"assigned":                         {commands: []Command{submit, start(1)}, pending: 1},
+		"rejected":                         {commands: []Command{submit, start(1), end(1, EndLost)}, pending: 1},
+		"rejected, assigned again":         {commands: []Command{submit, start(1), end(1, EndLost), start(2)}, pending: 1},
+		"begun":                            {commands: []Command{submit, start(1), begun}},
+		"begun, lost":                      {commands: []Command{submit, start(1), begun, end(1, EndLost)}},
+		"begun, lost, rejected":            {commands: []Command{submit, start(1), begun, end(1, EndLost), start(2), end(2, EndLost)}},
+		"failed without a record of begun": {commands: []Command{submit, start(1), end(1, EndFailed)}},
+		"canceled":                         {commands: []Command{submit, {Cancel: "j"}}},
+		"canceled, then begun":             {commands: []Command{submit, start(1), {Cancel: "j"}, begun}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			for _, c := range tt.commands {
+				s, _ = s.Apply(startTime, c)
+				s = FromSnapshot(s.Snapshot())
+			}
+			must.EqOp(t, tt.pending, s.Pending("q", startTime))
+			must.EqOp(t, 0, s.Pending("other", startTime))
+		})
+	}
+}
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -108,25 +108,11 @@
 	case messenger.CancelJob:
 		t.cancel(callID, c.Job.ID)
 	case messenger.CountPending:
-		pending := t.committed.Pending(queue.Name, t.now, t.mayHaveBegun())
+		pending := t.committed.Pending(queue.Name, t.now)
 		t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallDone, Pending: pending})
 	}
 }
 
-// mayHaveBegun returns a function that reports whether a run of a job may have started: a worker has confirmed one, or
-// an earlier leader assigned it.
-func (t *transition) mayHaveBegun() func(job string) bool {
-	jobs := make(map[string]bool)
-	for _, w := range t.workers.All() {
-		for _, r := range w.runs.All() {
-			if r.inherited || !r.startConfirmedAt.IsZero() {
-				jobs[r.task.Job] = true
-			}
-		}
-	}
-	return func(job string) bool { return jobs[job] }
-}
-
 // submit proposes a new job. A repeated submission of a known job ID is acknowledged
 // without a change, so callers may retry it.
 func (t *transition) submit(callID uint64, q registrar.Queue, j registrar.Job) {
@@ -160,7 +146,7 @@
 		state = messenger.JobFailed
 	case j.Outcome == registrar.Canceled:
 		state = messenger.JobCanceled
-	case j.Started:
+	case j.Begun:
 		state = messenger.JobRunning
 	}
 	t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallDone, State: state})
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -70,6 +70,8 @@
 		answer(callDelay, messenger.NotSent, 0)
 	case x == nil || x.gone || x.unreachable || x.dropsOrders:
 		answer(700*time.Millisecond, messenger.Unanswered, 0)
+	case x.rejectsStarts != 0 && o.Kind == messenger.StartRun:
+		answer(callDelay, x.rejectsStarts, w.clock())
 	case w.r.Float64() < w.faults.lateOrders:
 		answer(700*time.Millisecond, messenger.Unanswered, 0)
 		w.After(time.Duration(2+w.r.IntN(10))*time.Second, func() { w.executeOrder(x, o) })
--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -88,32 +88,50 @@
 	}
 }
 
-// TestPendingWhileUnconfirmed guards against a job that counts as begun once it is assigned: jobs assigned to a worker
-// that had fallen silent were not counted as pending.
+// TestPendingWhileUnconfirmed guards against a job that counts as begun before a worker has confirmed a start: jobs that
+// were assigned to a silent worker, or whose starts a worker had rejected, were not counted as pending.
 func TestPendingWhileUnconfirmed(t *testing.T) {
 	tests := map[string]struct {
 		dropsOrders, silent bool
+		rejects             messenger.Verdict
+		after               func(w *simCluster, x *fakeWorker) // a second after the submissions
 		pending             int
+		state               messenger.JobState
 	}{
-		"the worker starts them":     {},
-		"the worker gets no orders":  {dropsOrders: true, pending: 6},
-		"the worker has gone silent": {silent: true, pending: 6},
+		"the worker starts them":       {state: messenger.JobRunning},
+		"the worker gets no orders":    {dropsOrders: true, pending: 6, state: messenger.JobQueued},
+		"the worker has gone silent":   {silent: true, pending: 6, state: messenger.JobQueued},
+		"the worker rejects them":      {rejects: messenger.Unhealthy, pending: 6, state: messenger.JobQueued},
+		"rejected, new leader":         {rejects: messenger.Unhealthy, after: func(w *simCluster, _ *fakeWorker) { w.changeLeader() }, pending: 6, state: messenger.JobQueued},
+		"started, then rejects others": {after: func(_ *simCluster, x *fakeWorker) { x.rejectsStarts = messenger.Unhealthy }, state: messenger.JobRunning},
+		"started, then silent, new leader": {
+			after: func(w *simCluster, x *fakeWorker) { x.unreachable = true; w.changeLeader() }, state: messenger.JobRunning,
+		},
+		"started, then restarted": {
+			after: func(w *simCluster, x *fakeWorker) {
+				w.endWorker(x)
+				w.restartWorker(x).rejectsStarts = messenger.Unhealthy
+			}, state: messenger.JobRunning,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := newSimCluster(t, 1, map[string]int{"a": 1}, faults{})
 			w.RunFor(5 * time.Second)
 			x := w.workers["i-0001"]
-			x.dropsOrders, x.unreachable = tt.dropsOrders, tt.silent
+			x.dropsOrders, x.unreachable, x.rejectsStarts = tt.dropsOrders, tt.silent, tt.rejects
 			for n := range 6 {
 				w.submit("a", registrar.Job{ID: fmt.Sprintf("%016x", n), Steps: []registrar.Step{{Count: 1, CPU: 2000, Memory: 1000, Estimate: time.Minute}}})
 			}
-			for range 5 {
+			for second := range 12 {
 				w.RunFor(time.Second)
-				pending := -1
-				w.call(messenger.JobCall{Verb: messenger.CountPending, Host: "h", Path: "/a/"}, func(a messenger.JobAnswer) { pending = a.Pending })
-				must.EqOp(t, tt.pending, pending)
+				w.call(messenger.JobCall{Verb: messenger.CountPending, Host: "h", Path: "/a/"}, func(a messenger.JobAnswer) { must.EqOp(t, tt.pending, a.Pending) })
+				w.call(messenger.JobCall{Verb: messenger.GetJob, Host: "h", Path: "/a/", Job: registrar.Job{ID: fmt.Sprintf("%016x", 3)}}, func(a messenger.JobAnswer) { must.EqOp(t, tt.state, a.State) })
+				if second == 0 && tt.after != nil {
+					tt.after(w, x)
+				}
 			}
+			must.MapEmpty(t, w.pendingCalls)
 		})
 	}
 }
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -105,6 +105,7 @@
 		}
 		if r.startConfirmedAt.IsZero() {
 			r.startConfirmedAt = t.now
+			t.recordBegun(r.task.Job)
 		}
 		if r != before {
 			w.runs = w.runs.With(i, r)
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -171,6 +171,7 @@
 	case messenger.Accepted:
 		r.startConfirmedAt = t.now
 		t.setWorker(w.WithRun(r))
+		t.recordBegun(r.task.Job)
 		return
 	case messenger.Unanswered:
 		r.startUncertain = true
@@ -198,6 +199,18 @@
 	t.proposeEnd(w.ID, r, reason)
 }
 
+// recordBegun proposes to record that a worker has started a run of a job, unless that is known. Only a start that a
+// worker has confirmed counts: one that is assigned or sent may still be rejected.
+func (t *transition) recordBegun(id string) {
+	j, ok := t.committed.Job(id)
+	_, proposed := t.begunJobs.Get(id)
+	if !ok || j.Begun || j.Outcome != registrar.Active || proposed {
+		return
+	}
+	t.begunJobs = t.begunJobs.With(id, true)
+	t.propose(registrar.Command{Begun: []string{id}}, continuation{begunJob: id})
+}
+
 // proposeEnd proposes the end of a run that is certainly not running and will not start.
 func (t *transition) proposeEnd(id string, r run, reason registrar.EndReason) {
 	if r.endProposed || !r.committed {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -15,6 +15,7 @@
 	ends              []workerEnd       // runs to remove
 	worker            string            // worker to which the ends up to ackedEnd are then acknowledged
 	ackedEnd          int64
+	begunJob          string                 // job whose first start is recorded
 	workerIncarnation int64                  // incarnation of that worker when its ends were proposed
 	order             messenger.MachineOrder // order to send to the provider; none if order.Machine is empty
 }
@@ -43,6 +44,7 @@
 	workers          indexer.Map[string, worker]
 	continuations    indexer.Map[uint64, []continuation] // by ID of the proposal
 	batch            indexer.List[queuedCommand]         // commands for the next proposal
+	begunJobs        indexer.Map[string, bool]           // jobs whose first start is proposed as a record and not yet committed
 	lastBatchAt      time.Time
 	lastProposalID   uint64    // ID of the last proposal
 	dirty            bool      // something changed since the last placement pass
@@ -65,6 +67,7 @@
 		committed:      registrar.NewState(),
 		workers:        indexer.NewMap[string, worker](),
 		continuations:  indexer.NewMap[uint64, []continuation](),
+		begunJobs:      indexer.NewMap[string, bool](),
 		lastProposalID: lastProposalID,
 	}
 }
@@ -233,6 +236,7 @@
 	}
 	t.batch = indexer.List[queuedCommand]{}
 	t.continuations = indexer.NewMap[uint64, []continuation]()
+	t.begunJobs = indexer.NewMap[string, bool]()
 	t.workers.Reset()
 	t.fleet = fleet{}
 	t.advice = adviceCache{}
@@ -289,6 +293,9 @@
 	t.continuations = t.continuations.Without(p.ProposalID)
 	t.dirty = true
 	for i, onCommit := range continuations {
+		if onCommit.begunJob != "" {
+			t.begunJobs = t.begunJobs.Without(onCommit.begunJob)
+		}
 		if p.Failed { // not proposed: this node lost its leadership, which the next view confirms
 			t.answerCall(onCommit.callID, messenger.JobAnswer{Status: messenger.CallNotReady, RetryAfter: retryAfter})
 			continue
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -89,22 +89,23 @@
 // numbers.
 type fakeWorker struct {
 	registrar.Worker
-	machine      string
-	seq          int64     // sequence number of the last heartbeat
-	highestFence uint64    // highest fencing token of the orders and holds received
-	leaseEnd     time.Time // end of the lease
-	runs         map[registrar.TaskID]fakeRun
-	highestRun   map[registrar.TaskID]int // highest run number that was started or stopped
-	unackedEnds  []messenger.EndReport    // ends that are not acknowledged yet
-	lastEnd      int64                    // number of the last end
-	dropsOrders  bool                     // it gets no orders and answers none, but sends heartbeats and reports
-	drainAckedAt time.Time                // when its drain was acknowledged; zero: it was not
-	losesAnswers bool                     // it executes orders, but its answers to orders and holds are lost
-	unreachable  bool                     // it gets no calls and sends no heartbeats, but its runs go on
-	gone         bool                     // ended; a machine in a move or a maintenance answers nothing
-	refuses      bool                     // ended, and its machine refuses connections to its address
-	failsRuns    bool
-	slow         bool
+	machine       string
+	seq           int64     // sequence number of the last heartbeat
+	highestFence  uint64    // highest fencing token of the orders and holds received
+	leaseEnd      time.Time // end of the lease
+	runs          map[registrar.TaskID]fakeRun
+	highestRun    map[registrar.TaskID]int // highest run number that was started or stopped
+	unackedEnds   []messenger.EndReport    // ends that are not acknowledged yet
+	lastEnd       int64                    // number of the last end
+	dropsOrders   bool                     // it gets no orders and answers none, but sends heartbeats and reports
+	drainAckedAt  time.Time                // when its drain was acknowledged; zero: it was not
+	rejectsStarts messenger.Verdict        // it rejects all starts so; zero: it does not
+	losesAnswers  bool                     // it executes orders, but its answers to orders and holds are lost
+	unreachable   bool                     // it gets no calls and sends no heartbeats, but its runs go on
+	gone          bool                     // ended; a machine in a move or a maintenance answers nothing
+	refuses       bool                     // ended, and its machine refuses connections to its address
+	failsRuns     bool
+	slow          bool
 }
 
 // newSimCluster returns a simulated cluster with the given number of machines in each pool, four
