scheduler: a malformed start is a rejection, not a failed attempt

Cause: the verdict was recorded as the end "failed", which counts attempts.

Change: it is recorded like other rejections, and the worker gets no starts for 150 ms.

Evidence: TestRejectedStartsAreNoAttempts, case "malformed", fails without the change.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -58,7 +58,7 @@
 
 	removeWorkerAfter = 20 * time.Second // an unresponsive worker without runs is removed after this time
 
-	resourceRejectionPause = 150 * time.Millisecond // no starts for this time after a worker rejected one for lack of resources
+	resourceRejectionPause = 150 * time.Millisecond // no starts for this time after a worker rejected one for lack of resources or as malformed
 	unhealthyPause         = time.Second            // no starts for this time after a worker reported itself unhealthy or another worker answered at its address
 
 	clockDriftFactor = 1.021                  // factor by which a lease may last longer on a worker whose clock runs 2 % slow
--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// TestRejectedStartsAreNoAttempts guards against a job that ends as failed although none of its runs has: a start that
+// a worker rejected as malformed counted as a failed attempt.
+func TestRejectedStartsAreNoAttempts(t *testing.T) {
+	tests := map[string]struct{ verdict messenger.Verdict }{
+		"lack of resources": {messenger.RejectedCapacity},
+		"malformed":         {messenger.RejectedMalformed},
+		"unhealthy":         {messenger.Unhealthy},
+		"another worker":    {messenger.WrongWorker},
+		"an old run number": {messenger.RejectedOld},
+		"an expired lease":  {messenger.RejectedLate},
+		"an invalid ticket": {messenger.RejectedTicket},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newSimCluster(t, 1, map[string]int{"a": 1}, faults{})
+			w.RunFor(3 * time.Second)
+			x := w.workers["i-0001"]
+			x.rejectsStarts = tt.verdict
+			w.submit("a", registrar.Job{ID: "j", Steps: []registrar.Step{{Count: 2, CPU: 2000, Memory: 1000, Estimate: time.Second}}})
+			w.RunFor(8 * time.Second)
+			x.rejectsStarts = 0
+			w.RunFor(4 * time.Second)
+			j, _ := w.committed.Job("j")
+			must.EqOp(t, registrar.Complete, j.Outcome)
+		})
+	}
+}
+
 // TestPendingWhileUnconfirmed guards against a job that counts as begun before a worker has confirmed a start: jobs that
 // were assigned to a silent worker, or whose starts a worker had rejected, were not counted as pending.
 func TestPendingWhileUnconfirmed(t *testing.T) {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -181,7 +181,7 @@
 		return // the next ticks repeat the order or end the run
 	case messenger.RejectedTicket:
 		t.dropTicket(r.task, w.ID)
-	case messenger.RejectedCapacity:
+	case messenger.RejectedCapacity, messenger.RejectedMalformed:
 		w.noStartsUntil = t.now.Add(resourceRejectionPause)
 	case messenger.Unhealthy, messenger.WrongWorker:
 		w.noStartsUntil = t.now.Add(unhealthyPause)
@@ -192,11 +192,7 @@
 		t.stop(w, r, "an earlier start order was not answered")
 		return
 	}
-	reason := registrar.EndLost
-	if m.Verdict == messenger.RejectedMalformed {
-		reason = registrar.EndFailed
-	}
-	t.proposeEnd(w.ID, r, reason)
+	t.proposeEnd(w.ID, r, registrar.EndLost) // a rejected start is no attempt, whatever the verdict
 }
 
 // recordBegun proposes to record that a worker has started a run of a job, unless that is known. Only a start that a
