scheduler, registrar: orders use their budgets across leaders

Cause: what a leader had ordered was known to itself alone. A worker lists a run that is being stopped like any other, and the committed intent to order a machine used no budget of the next leader.

Change: a stop is committed for its run before it is sent. The committed intent of a machine order names the kind of the order and the worker that it ends; until a list shows the effect, or until the order has expired, the machine counts as down and the tasks on it as unavailable. This holds for the orders of earlier leaders and for those of this leader without a reply. A maintenance that a list shows is recorded as begun if its reply is unknown.

--- a/registrar/command.go
+++ b/registrar/command.go
@@ -20,6 +20,13 @@
 	Checkpoint  string `cbor:"6,keyasint,omitempty"` // checkpoint reported after the last run had ended; empty: none
 }
 
+// Stop records that a run is about to be stopped. It is committed before the worker gets the order, so that a later
+// leader knows that the task is unavailable.
+type Stop struct {
+	Task TaskID `cbor:"1,keyasint,omitempty"`
+	Run  int    `cbor:"2,keyasint,omitempty"`
+}
+
 // EndReason is the reason why a run ended.
 type EndReason uint8
 
@@ -64,6 +71,8 @@
 	Maintenance     []MachineMaintenance `cbor:"9,keyasint,omitempty"`
 	Batch           []Command            `cbor:"11,keyasint,omitempty"` // commands in the order in which they are applied
 	Departures      []Departure          `cbor:"12,keyasint,omitempty"` // workers that announced that they end; RemovedWorkers lists them too
+	MachineOrder    *MachineOrder        `cbor:"13,keyasint,omitempty"` // the order, if OrderedMachines has one machine; nil in commands of older versions
+	Stops           []Stop               `cbor:"15,keyasint,omitempty"` // runs to which a stop order is sent once the command is committed
 	Begun           []string             `cbor:"14,keyasint,omitempty"` // IDs of jobs of which a worker has confirmed the first start
 	OrderedMachines []string             `cbor:"10,keyasint,omitempty"` // machines for which an order is sent to the provider once the command is committed
 }
--- a/registrar/fleet.go
+++ b/registrar/fleet.go
@@ -143,6 +143,20 @@
 	return w.Labels[len(w.Labels)-1]
 }
 
+// MachineOrder is an order to the provider for a machine: a move or a maintenance.
+type MachineOrder struct {
+	Machine     string `cbor:"1,keyasint,omitempty"`
+	Pool        string `cbor:"2,keyasint,omitempty"` // target pool of a move; empty: maintenance
+	Worker      string `cbor:"3,keyasint,omitempty"` // worker on the machine, which the order ends; empty: none is known
+	Incarnation int64  `cbor:"4,keyasint,omitempty"` // of that worker
+}
+
+// LastOrder is the last order to the provider for a machine.
+type LastOrder struct {
+	MachineOrder
+	At time.Time // when its intent was committed
+}
+
 // Wave is a rolling maintenance of machines with a deadline.
 type Wave struct {
 	ID       int64    `cbor:"1,keyasint,omitempty"`
--- a/registrar/job.go
+++ b/registrar/job.go
@@ -49,6 +49,7 @@
 	Incarnation int64  `cbor:"5,keyasint,omitempty"` // incarnation of that worker: its start time, Unix milliseconds
 	Checkpoint  string `cbor:"6,keyasint,omitempty"` // last checkpoint; empty: none
 	Term        uint64 `cbor:"7,keyasint,omitempty"` // fencing token of the order that started the run
+	Stopping    bool   `cbor:"9,keyasint,omitempty"` // the last run was stopped and has not ended
 	AssignedAt  int64  `cbor:"8,keyasint,omitempty"` // time at which the run was assigned, Unix nanoseconds
 }
 
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -29,7 +29,7 @@
 	seqs       *immutable.Map[string, uint64] // Seq of each active job by ID
 	workers    *immutable.SortedMap[string, Worker]
 	waves      *immutable.SortedMap[int64, Wave]
-	lastOrders *immutable.Map[string, int64]     // time of the last order to the provider for each machine, Unix nanoseconds
+	lastOrders *immutable.Map[string, LastOrder] // by machine
 	departures *immutable.Map[string, Departure] // by worker
 	nextSeq    uint64
 }
@@ -42,7 +42,7 @@
 		seqs:       immutable.NewMap[string, uint64](nil),
 		workers:    immutable.NewSortedMap[string, Worker](nil),
 		waves:      immutable.NewSortedMap[int64, Wave](nil),
-		lastOrders: immutable.NewMap[string, int64](nil),
+		lastOrders: immutable.NewMap[string, LastOrder](nil),
 		departures: immutable.NewMap[string, Departure](nil),
 		nextSeq:    1,
 	}
@@ -100,14 +100,22 @@
 	}
 }
 
-// OrderedAt returns the time of the last order to the provider for a machine, or the zero time
-// if there was none. A new leader uses it to wait until the orders of earlier leaders have expired.
-func (s State) OrderedAt(machine string) time.Time {
-	at, ok := s.lastOrders.Get(machine)
-	if !ok {
-		return time.Time{}
+// LastOrder returns the last order to the provider for a machine, or the zero value if there was none. A new leader
+// counts an order of an earlier one as under way until it has expired or its effect is known.
+func (s State) LastOrder(machine string) LastOrder {
+	order, _ := s.lastOrders.Get(machine)
+	return order
+}
+
+// MaintenanceUnderWay reports whether a maintenance of a machine was ordered of which it is not known that it began.
+func (s State) MaintenanceUnderWay(machine string) bool {
+	for it := s.waves.Iterator(); !it.Done(); {
+		_, w, _ := it.Next()
+		if !w.IsComplete() && slices.Contains(w.Started, machine) && !slices.Contains(w.Done, machine) {
+			return true
+		}
 	}
-	return time.Unix(0, at)
+	return false
 }
 
 // Pending returns the number of active jobs of a queue that are due and of which no worker has started a task.
@@ -142,6 +150,9 @@
 	for _, start := range c.Starts {
 		s = s.withStart(at, start)
 	}
+	for _, stop := range c.Stops {
+		s = s.withStop(stop)
+	}
 	for _, id := range c.Begun {
 		s = s.withBegun(id)
 	}
@@ -164,7 +175,10 @@
 		s = s.withMaintenance(u)
 	}
 	for _, m := range c.OrderedMachines {
-		s.lastOrders = s.lastOrders.Set(m, at.UnixNano())
+		s.lastOrders = s.lastOrders.Set(m, LastOrder{MachineOrder: MachineOrder{Machine: m}, At: at})
+	}
+	if c.MachineOrder != nil {
+		s.lastOrders = s.lastOrders.Set(c.MachineOrder.Machine, LastOrder{MachineOrder: *c.MachineOrder, At: at})
 	}
 	return s, result
 }
@@ -250,6 +264,7 @@
 		return s
 	}
 	t.Phase, t.Run, t.Worker, t.Incarnation, t.Term, t.AssignedAt = Running, start.Run, start.Worker, start.Incarnation, start.Term, at.UnixNano()
+	t.Stopping = false
 	if start.Checkpoint != "" {
 		t.Checkpoint = start.Checkpoint
 	}
@@ -258,6 +273,24 @@
 	return s.withJob(j)
 }
 
+// withStop records that the last run of a task is about to be stopped. It ignores an earlier run.
+func (s State) withStop(stop Stop) State {
+	j, ok := s.Job(stop.Task.Job)
+	if !ok {
+		return s
+	}
+	o, ok := j.Occurrence(stop.Task.Occurrence)
+	if !ok || !j.hasOccurrence(stop.Task) || !o.hasTask(stop.Task) {
+		return s
+	}
+	t := o.Steps[stop.Task.Step][stop.Task.Index]
+	if t.Phase != Running || t.Run != stop.Run {
+		return s
+	}
+	t.Stopping = true
+	return s.withJob(j.withOccurrence(o.withTask(stop.Task.Step, stop.Task.Index, t)))
+}
+
 // withBegun records that a worker has started a run of a job.
 func (s State) withBegun(id string) State {
 	j, ok := s.Job(id)
@@ -289,7 +322,7 @@
 		j.Running++ // the recorded end has already subtracted the run, which is subtracted again below
 	}
 	j.Begun = j.Begun || end.Reason != EndLost // a worker reports the ends of runs that it has started
-	t.Phase = Waiting
+	t.Phase, t.Stopping = Waiting, false
 	if end.Checkpoint != "" {
 		t.Checkpoint = end.Checkpoint
 	}
@@ -427,6 +460,8 @@
 
 	LastOrders map[string]int64 `cbor:"7,keyasint,omitempty"`
 	Departures []Departure      `cbor:"8,keyasint,omitempty"`
+
+	MachineOrders []MachineOrder `cbor:"9,keyasint,omitempty"` // the last order for each machine in LastOrders
 }
 
 // Snapshot returns a snapshot of the state.
@@ -441,8 +476,9 @@
 	s.EachWave(func(w Wave) { snapshot.Waves = append(snapshot.Waves, w) })
 	snapshot.LastOrders = make(map[string]int64, s.lastOrders.Len())
 	for it := s.lastOrders.Iterator(); !it.Done(); {
-		m, at, _ := it.Next()
-		snapshot.LastOrders[m] = at
+		m, order, _ := it.Next()
+		snapshot.LastOrders[m] = order.At.UnixNano()
+		snapshot.MachineOrders = append(snapshot.MachineOrders, order.MachineOrder)
 	}
 	for it := s.departures.Iterator(); !it.Done(); {
 		_, d, _ := it.Next()
@@ -469,7 +505,10 @@
 		s.waves = s.waves.Set(w.ID, w)
 	}
 	for m, at := range snapshot.LastOrders {
-		s.lastOrders = s.lastOrders.Set(m, at)
+		s.lastOrders = s.lastOrders.Set(m, LastOrder{MachineOrder: MachineOrder{Machine: m}, At: time.Unix(0, at)})
+	}
+	for _, order := range snapshot.MachineOrders {
+		s.lastOrders = s.lastOrders.Set(order.Machine, LastOrder{MachineOrder: order, At: time.Unix(0, snapshot.LastOrders[order.Machine])})
 	}
 	for _, d := range snapshot.Departures {
 		s.departures = s.departures.Set(d.Worker, d)
--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -187,3 +187,72 @@
 		})
 	}
 }
+
+// TestStops checks that the last run of a task stays marked as stopping until it has ended, also in a snapshot.
+func TestStops(t *testing.T) {
+	submit := Command{Submit: newJob(Step{Count: 1, LongRunning: true})}
+	start := func(run int) Command {
+		return Command{Starts: []Start{{Task: taskID(0, 0), Run: run, Worker: "w"}}}
+	}
+	stop := func(task TaskID, run int) Command { return Command{Stops: []Stop{{Task: task, Run: run}}} }
+	end := Command{Ends: []End{{Task: taskID(0, 0), Run: 1, Reason: EndStopped}}}
+	tests := map[string]struct {
+		commands []Command
+		stopping bool
+	}{
+		"started":                 {commands: []Command{submit, start(1)}},
+		"stopped":                 {commands: []Command{submit, start(1), stop(taskID(0, 0), 1)}, stopping: true},
+		"stopped, not started":    {commands: []Command{submit, stop(taskID(0, 0), 1)}},
+		"stopped, ended":          {commands: []Command{submit, start(1), stop(taskID(0, 0), 1), end}},
+		"ended, then stopped":     {commands: []Command{submit, start(1), end, stop(taskID(0, 0), 1)}},
+		"stopped, started again":  {commands: []Command{submit, start(1), stop(taskID(0, 0), 1), end, start(2)}},
+		"stop of an earlier run":  {commands: []Command{submit, start(1), end, start(2), stop(taskID(0, 0), 1)}},
+		"stop of an unknown task": {commands: []Command{submit, start(1), stop(taskID(0, 7), 1), stop(taskID(3, -1), 1), stop(TaskID{Job: "x"}, 1)}},
+		"stopped, job canceled":   {commands: []Command{submit, start(1), stop(taskID(0, 0), 1), {Cancel: "j"}}, stopping: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			for _, c := range tt.commands {
+				s, _ = s.Apply(startTime, c)
+				s = FromSnapshot(s.Snapshot())
+			}
+			j, _ := s.Job("j")
+			o, _ := j.Occurrence(0)
+			must.EqOp(t, tt.stopping, o.Steps[0][0].Stopping)
+		})
+	}
+}
+
+// TestMachineOrders checks what a later leader knows of the last order for a machine, also from a snapshot.
+func TestMachineOrders(t *testing.T) {
+	move := MachineOrder{Machine: "m", Pool: "b", Worker: "w", Incarnation: 5}
+	maintenance := MachineOrder{Machine: "m", Worker: "w", Incarnation: 5}
+	wave := Command{Wave: &Wave{ID: 1, Machines: []string{"m", "n"}, MaxDown: 1}}
+	order := func(o MachineOrder) Command {
+		return Command{OrderedMachines: []string{"m"}, MachineOrder: &o, Maintenance: []MachineMaintenance{{Wave: 1, Machine: "m"}}}
+	}
+	tests := map[string]struct {
+		commands []Command
+		last     MachineOrder
+		underWay bool
+	}{
+		"none":                      {commands: []Command{wave}},
+		"move":                      {commands: []Command{{OrderedMachines: []string{"m"}, MachineOrder: &move}}, last: move},
+		"order of an older version": {commands: []Command{{OrderedMachines: []string{"m"}}}, last: MachineOrder{Machine: "m"}},
+		"maintenance":               {commands: []Command{wave, order(maintenance)}, last: maintenance, underWay: true},
+		"maintenance begun":         {commands: []Command{wave, order(maintenance), {Maintenance: []MachineMaintenance{{Wave: 1, Machine: "m", Done: true}}}}, last: maintenance},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			for _, c := range tt.commands {
+				s, _ = s.Apply(startTime, c)
+				s = FromSnapshot(s.Snapshot())
+			}
+			must.Eq(t, tt.last, s.LastOrder("m").MachineOrder)
+			must.EqOp(t, tt.last.Machine != "", s.LastOrder("m").At.Equal(startTime))
+			must.EqOp(t, tt.underWay, s.MaintenanceUnderWay("m"))
+		})
+	}
+}
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -76,6 +77,9 @@
 		answer(700*time.Millisecond, messenger.Unanswered, 0)
 		w.After(time.Duration(2+w.r.IntN(10))*time.Second, func() { w.executeOrder(x, o) })
 	default:
+		if o.Kind == messenger.StopRun && !x.Draining {
+			w.checkDisruption(x, o.Task)
+		}
 		v := w.executeOrder(x, o)
 		if x.losesAnswers || w.r.Float64() < w.faults.lostAnswers {
 			answer(700*time.Millisecond, messenger.Unanswered, 0)
@@ -98,7 +102,7 @@
 	if o.Kind == messenger.StopRun {
 		r, ok := x.runs[o.Task]
 		if ok && r.number == o.Run {
-			w.endRun(x, o.Task, r, registrar.EndStopped)
+			w.stopRun(x, o.Task, r)
 		}
 		x.highestRun[o.Task] = max(x.highestRun[o.Task], o.Run)
 		return messenger.Accepted
@@ -132,6 +136,81 @@
 	return messenger.Accepted
 }
 
+// stopRun stops a run, which ends after stopTime. Until then the worker lists it like any other.
+func (w *simCluster) stopRun(x *fakeWorker, id registrar.TaskID, r fakeRun) {
+	if w.stopTime == 0 {
+		w.endRun(x, id, r, registrar.EndStopped)
+		return
+	}
+	r.stopping = true
+	x.runs[id] = r
+	w.After(w.stopTime, func() {
+		current, ok := x.runs[id]
+		if ok && current.number == r.number {
+			w.endRun(x, id, current, registrar.EndStopped)
+		}
+	})
+}
+
+// isAtWork reports whether a long-running task is ready and not being stopped on some worker.
+func (w *simCluster) isAtWork(id registrar.TaskID) bool {
+	for _, x := range w.workers {
+		r, ok := x.runs[id]
+		if ok && !r.stopping && w.Now().Sub(r.startedAt) > readyAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// checkDisruption fails the test if the end of a task that is at work on a worker exceeds the disruption budget of its
+// step.
+func (w *simCluster) checkDisruption(x *fakeWorker, id registrar.TaskID) {
+	j, _ := w.committed.Job(id.Job)
+	_, runsHere := x.runs[id]
+	if j.Outcome != registrar.Active || !runsHere || !j.Steps[id.Step].HasMaxUnavailable || !w.isAtWork(id) {
+		return
+	}
+	away := 0
+	for index := range j.Steps[id.Step].Count {
+		other := id
+		other.Index = index
+		if index != id.Index && !w.isAtWork(other) {
+			away++
+		}
+	}
+	if away >= j.Steps[id.Step].MaxUnavailable {
+		w.t.Fatalf("%v: %v is ended on %s while %d others of its step are unavailable, and %d may be", w.Now().Sub(w.start), id, x.ID, away, j.Steps[id.Step].MaxUnavailable)
+	}
+}
+
+// checkMachineOrder fails the test if a move or a maintenance ends long-running tasks beyond their disruption budget, or
+// if more machines of a wave than allowed are down for their maintenance.
+func (w *simCluster) checkMachineOrder(m *fakeMachine, o messenger.MachineOrder) {
+	x, ok := w.workers[m.Machine.Worker]
+	if ok && !x.Draining && !x.unreachable {
+		for id, r := range maps.Clone(x.runs) {
+			w.checkDisruption(x, id)
+			r.stopping = true
+			x.runs[id] = r
+		}
+	}
+	wave, ok := w.committed.Wave(o.Wave)
+	if !ok {
+		return
+	}
+	down := 0
+	for _, name := range wave.Machines {
+		other, listed := w.machines[name]
+		if listed && other.State == messenger.MachineMaintenance {
+			down++
+		}
+	}
+	if down >= wave.MaxDown {
+		w.t.Fatalf("%v: the maintenance of %s begins while %d machines of its wave are down, and %d may be", w.Now().Sub(w.start), m.Name, down, wave.MaxDown)
+	}
+}
+
 // startRun starts a run after checking the invariants.
 func (w *simCluster) startRun(x *fakeWorker, o messenger.Order) {
 	j, ok := w.committed.Job(o.Task.Job)
@@ -234,8 +313,8 @@
 		if r.longRunning {
 			percent = 0
 		}
-		if r.longRunning && w.Now().Sub(r.startedAt) > 900*time.Millisecond {
-			percent = 100 // a long-running task is ready after 900 ms
+		if r.longRunning && w.Now().Sub(r.startedAt) > readyAfter {
+			percent = 100
 		}
 		reply.Running = append(reply.Running, messenger.RunReport{Task: id, Run: r.number, Percent: percent, Measurement: int(w.tailLatency(x, r).Milliseconds())})
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -40,7 +40,7 @@
 type machine struct {
 	messenger.Machine
 	orderPending         bool      // an order is proposed or in flight
-	orderUnconfirmed     bool      // an order was not answered: only a later list shows its result
+	orderUnconfirmed     bool      // an order was not answered: see mayBeOrdered
 	orderedAt            time.Time // time of the last order
 	departingWorker      string    // its worker when the provider accepted the last order; the next list shows whether it has left
 	departingIncarnation int64     // incarnation of that worker
@@ -86,7 +86,6 @@
 	listedAt        time.Time // when the last received list was requested
 	listRequestedAt time.Time
 	listWanted      bool                 // the provider accepted an order since the last list was requested
-	leadingSince    time.Time            // when this leader took over
 	demands         map[string]demand    // by pool
 	cordoned        map[string]bool      // workers that get no new runs, because their machine is to be moved or maintained
 	maintenanceDue  map[string]bool      // workers whose machine is due for maintenance
@@ -95,9 +94,9 @@
 	refusedMoves    map[string]bool      // moves that the provider refused permanently, by "machine pool"
 }
 
-// newFleet returns the fleet of a node that becomes the leader at time now.
-func newFleet(now time.Time) fleet {
-	return fleet{leading: true, machines: indexer.NewMap[string, machine](), leadingSince: now}
+// newFleet returns the fleet of a node that becomes the leader.
+func newFleet() fleet {
+	return fleet{leading: true, machines: indexer.NewMap[string, machine]()}
 }
 
 // isCordoned reports whether a worker gets no new runs because its machine is to be moved or maintained.
@@ -139,6 +138,7 @@
 	listedNames := make(map[string]bool, len(l.Machines))
 	for _, listed := range l.Machines {
 		m, known := t.fleet.machines.Get(listed.Name)
+		m.Name = listed.Name
 		if listed.State == messenger.MachineUnknown { // its entry could not be read: it stays as it was
 			listedNames[listed.Name] = known
 			continue
@@ -147,7 +147,7 @@
 		updated := t.confirmDeparture(m, listed, l.SentAt)
 		if !updated.orderPending && !l.SentAt.Before(updated.orderedAt.Add(listGracePeriod)) { // otherwise the list may be older than the order
 			updated.Machine = listed
-			updated.orderUnconfirmed = false
+			updated.orderUnconfirmed = updated.orderUnconfirmed && t.mayBeOrdered(updated)
 			t.forgetMissing(listed.Name)
 		}
 		if !known || !updated.equal(m) {
@@ -230,8 +230,13 @@
 }
 
 // confirmDeparture proposes the ends of the runs of a machine's worker once a list shows that the
-// worker has left. The list may be older than the next process of the worker, whose runs go on.
+// worker has left because of an order of this leader or an earlier one. The list may be older than the next process of
+// the worker, whose runs go on.
 func (t *transition) confirmDeparture(m machine, listed messenger.Machine, requestedAt time.Time) machine {
+	if !t.haveOrdersExpired(m) {
+		order := t.committed.LastOrder(listed.Name)
+		m.departingWorker, m.departingIncarnation = order.Worker, order.Incarnation
+	}
 	if m.departingWorker == "" || m.orderPending || requestedAt.Before(m.orderedAt) {
 		return m
 	}
@@ -243,7 +248,7 @@
 		return m
 	}
 	w, ok := t.workers.Get(m.departingWorker)
-	if ok && w.Incarnation == m.departingIncarnation {
+	if ok && !w.departed && w.Incarnation == m.departingIncarnation {
 		t.proposeAllEnds(w, "its machine left")
 		w, _ = t.workers.Get(w.ID)
 		w.Draining, w.departed, w.reportRequestedAt = true, true, time.Time{}
@@ -261,7 +266,7 @@
 	}
 	interval := listIntervalIdle
 	for _, m := range t.fleet.machines.All() {
-		if m.State != messenger.MachineUp || m.orderUnconfirmed {
+		if m.State != messenger.MachineUp || t.mayBeOrdered(m) {
 			interval = listIntervalBusy
 		}
 	}
@@ -283,7 +288,7 @@
 		if m.orderPending {
 			t.fleet.pendingOrders++
 		}
-		if (m.orderPending || m.orderUnconfirmed) && m.Worker != "" {
+		if (m.orderPending || t.mayBeOrdered(m)) && m.Worker != "" {
 			t.fleet.cordoned[m.Worker], t.fleet.departing[m.Worker] = true, true
 		}
 		if m.departingWorker != "" {
@@ -304,7 +309,8 @@
 	if m.Worker != "" {
 		t.fleet.cordoned[m.Worker], t.fleet.departing[m.Worker] = true, true
 	}
-	c := registrar.Command{OrderedMachines: []string{m.Name}}
+	w, _ := t.workers.Get(m.Worker)
+	c := registrar.Command{OrderedMachines: []string{m.Name}, MachineOrder: &registrar.MachineOrder{Machine: m.Name, Pool: o.Pool, Worker: m.Worker, Incarnation: w.Incarnation}}
 	if o.Wave != 0 {
 		c.Maintenance = []registrar.MachineMaintenance{{Wave: o.Wave, Machine: m.Name}}
 	}
@@ -313,8 +319,33 @@
 
 // haveOrdersExpired reports whether all orders of earlier leaders for a machine have certainly expired.
 func (t *transition) haveOrdersExpired(m machine) bool {
-	at := t.committed.OrderedAt(m.Name)
-	return at.After(t.fleet.leadingSince) || t.now.Sub(at) > t.cfg.MachineOrderTimeout
+	return m.isOrderedHere() || t.now.Sub(t.committed.LastOrder(m.Name).At) > t.cfg.MachineOrderTimeout
+}
+
+// isOrderedHere reports whether this leader has sent the last order for the machine.
+func (m machine) isOrderedHere() bool { return !m.orderedAt.IsZero() }
+
+// isAccepted reports whether the provider has accepted the last order for the machine from this leader, or has yet to
+// answer it.
+func (m machine) isAccepted() bool {
+	return m.orderPending || (m.isOrderedHere() && !m.maintenanceStartedAt.Before(m.orderedAt))
+}
+
+// mayBeOrdered reports whether the provider may yet carry out the last order for a machine: one that it has not answered,
+// or one of an earlier leader, whose answer this leader does not know. Such an order uses the budgets that it needs until
+// it has expired or a list shows its effect.
+func (t *transition) mayBeOrdered(m machine) bool {
+	if m.isOrderedHere() && !m.orderUnconfirmed {
+		return false
+	}
+	order := t.committed.LastOrder(m.Name)
+	if t.now.Sub(order.At) > t.cfg.MachineOrderTimeout {
+		return false
+	}
+	if order.Pool != "" {
+		return m.Pool != order.Pool
+	}
+	return m.State != messenger.MachineMaintenance && t.committed.MaintenanceUnderWay(m.Name)
 }
 
 // isServing reports whether a long-running task is ready and not being stopped, according to a recent
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -110,12 +110,41 @@
 	})
 }
 
-// stop marks a run as stopping and sends the stop order. The order is repeated until the worker confirms it.
+// stop marks a run as stopping and proposes to record it. The stop order is sent once the record is committed: the task
+// is unavailable from then on, which a later leader has to know. A run whose task or job has ended is stopped at once.
 func (t *transition) stop(w worker, r run, reason string) {
-	r.stopping, r.orderPending, r.orderSentAt = true, true, t.now
+	if r.stopping {
+		return
+	}
+	t.logDecision(messenger.Decision{Event: "stop", Job: r.task.Job, Run: r.number, Instance: w.ID, Reason: reason})
+	r.stopping = true
+	if !t.isAssigned(w.ID, r) {
+		t.orderStop(w, r)
+		return
+	}
+	r.stopProposed = true
+	t.setWorker(w.WithRun(r))
+	s := registrar.Stop{Task: r.task, Run: r.number}
+	t.propose(registrar.Command{Stops: []registrar.Stop{s}}, continuation{stop: workerStop{Stop: s, worker: w.ID}})
+}
+
+// handleStopCommitted sends the stop order of a run once the stop is committed.
+func (t *transition) handleStopCommitted(s workerStop) {
+	w, _ := t.workers.Get(s.worker)
+	i := w.find(s.Task)
+	if i < 0 || w.runs.At(i).number != s.Run {
+		return
+	}
+	r := w.runs.At(i)
+	r.stopProposed = false
+	t.orderStop(w, r)
+}
+
+// orderStop sends the stop order of a run. The order is repeated until the worker confirms it.
+func (t *transition) orderStop(w worker, r run) {
+	r.orderPending, r.orderSentAt = true, t.now
 	t.setWorker(w.WithRun(r))
 	t.sendStop(w, r.task, r.number)
-	t.logDecision(messenger.Decision{Event: "stop", Job: r.task.Job, Run: r.number, Instance: w.ID, Reason: reason})
 }
 
 // handleOrderReply handles a worker's answer to a start, stop or pace order. It ignores an answer of an earlier
@@ -300,16 +329,14 @@
 		t.setWorker(w.WithRun(r))
 	}
 	r = t.expirePaceOrder(id, r)
-	if !r.committed || r.orderPending || r.endProposed {
+	if !r.committed || r.orderPending || r.stopProposed || r.endProposed {
 		return
 	}
 	w, _ := t.workers.Get(id)
 	switch {
 	case r.stopping:
 		if r.stopConfirmedAt.IsZero() && sinceOrder > stopRetryDelay {
-			r.orderPending, r.orderSentAt = true, t.now
-			t.setWorker(w.WithRun(r))
-			t.sendStop(w, r.task, r.number)
+			t.orderStop(w, r)
 		}
 	case r.startConfirmedAt.IsZero() && !r.inherited:
 		if !r.startUncertain && w.failedCalls > 0 && sinceOrder > unsentStartTimeout {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -15,6 +15,7 @@
 	ends              []workerEnd       // runs to remove
 	worker            string            // worker to which the ends up to ackedEnd are then acknowledged
 	ackedEnd          int64
+	stop              workerStop             // stop order to send; none if stop.Run is zero
 	begunJob          string                 // job whose first start is recorded
 	workerIncarnation int64                  // incarnation of that worker when its ends were proposed
 	order             messenger.MachineOrder // order to send to the provider; none if order.Machine is empty
@@ -32,6 +33,12 @@
 	worker string
 }
 
+// workerStop is the stop of a run, with the ID of the worker that the run is assigned to.
+type workerStop struct {
+	registrar.Stop
+	worker string
+}
+
 // State is the immutable state of a scheduler.
 type State struct {
 	cfg       Config
@@ -248,7 +255,7 @@
 // leader may have renewed leases until now, so each worker is assumed to hold a lease of MaxLease.
 func (t *transition) becomeLeader() {
 	t.logDecision(messenger.Decision{Event: "leads"})
-	t.fleet = newFleet(t.now)
+	t.fleet = newFleet()
 	t.workers.Reset()
 	leaseExpiresBy := t.now.Add(time.Duration(float64(t.cfg.MaxLease)*clockDriftFactor) + leaseMargin)
 	t.committed.EachWorker(func(w registrar.Worker) {
@@ -264,7 +271,7 @@
 				w = worker{Worker: registrar.Worker{ID: task.Worker, Incarnation: task.Incarnation}, leaseExpiresBy: leaseExpiresBy}
 			}
 			r := newRun(j, id, task.Run)
-			r.incarnation, r.committed, r.inherited = task.Incarnation, true, true
+			r.incarnation, r.committed, r.inherited, r.stopping = task.Incarnation, true, true, task.Stopping
 			if r.bestEffort {
 				r.pace = &pacing{percent: paceUnknown}
 			}
@@ -324,6 +331,9 @@
 	for _, start := range onCommit.starts {
 		t.handleAssigned(start)
 	}
+	if onCommit.stop.Run > 0 {
+		t.handleStopCommitted(onCommit.stop)
+	}
 	if onCommit.order.Machine != "" {
 		onCommit.order.Fence, onCommit.order.NotAfter = t.term, t.leaseEnd
 		t.Send(messenger.Provider, onCommit.order)
--- a/scheduler/wave.go
+++ b/scheduler/wave.go
@@ -18,7 +18,7 @@
 	}
 	budget := w.MaxDown
 	var due []machine
-	var gone []registrar.MachineMaintenance
+	var gone, begun []registrar.MachineMaintenance // of machines that are gone, and of those in maintenance whose order has no known answer
 	for _, name := range w.Machines {
 		m, ok := t.fleet.machines.Get(name)
 		done := slices.Contains(w.Done, name)
@@ -29,12 +29,15 @@
 			}
 		case t.countsAsDown(m):
 			budget--
+			if !done && m.State == messenger.MachineMaintenance && !m.isAccepted() && slices.Contains(w.Started, name) {
+				begun = append(begun, registrar.MachineMaintenance{Wave: w.ID, Machine: name, Done: true})
+			}
 		case !done && m.State == messenger.MachineUp && !m.orderPending && t.haveOrdersExpired(m) && t.now.Sub(m.orderedAt) > machineOrderInterval:
 			due = append(due, m)
 		}
 	}
-	if len(gone) > 0 {
-		t.propose(registrar.Command{Maintenance: gone}, continuation{})
+	if len(gone)+len(begun) > 0 {
+		t.propose(registrar.Command{Maintenance: slices.Concat(gone, begun)}, continuation{})
 	}
 	for _, m := range due {
 		t.fleet.maintenanceDue[m.Worker] = true
@@ -95,7 +98,7 @@
 
 // countsAsDown reports whether a machine is down or in maintenance, or may be because of its last order.
 func (t *transition) countsAsDown(m machine) bool {
-	if m.orderPending || m.orderUnconfirmed || m.State == messenger.MachineMaintenance || m.State == messenger.MachineDown {
+	if m.orderPending || t.mayBeOrdered(m) || m.State == messenger.MachineMaintenance || m.State == messenger.MachineDown {
 		return true
 	}
 	return !m.maintenanceStartedAt.IsZero() && t.now.Sub(m.maintenanceStartedAt) < t.cfg.MaintenanceDuration+listGracePeriod
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -29,6 +29,7 @@
 	startUncertain   bool      // a start order was not answered, so the worker may still execute it
 
 	stopping        bool
+	stopProposed    bool      // the stop is proposed and not yet committed; the order is sent once it is
 	stopConfirmedAt time.Time // when the worker confirmed the stop; zero: not yet
 	endProposed     bool      // the end of the run is proposed and not yet committed
 
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -19,9 +19,11 @@
 	moveDuration      = 1500 * time.Millisecond
 	maxLease          = 6 * time.Second
 	heartbeatInterval = 1500 * time.Millisecond
-	maxOverTarget     = 4 * time.Second // maximum time that a run may exceed its latency target
-	maxListedEnds     = 500             // maximum number of ends in one report of a worker
-	drainTime         = 2 * time.Second // maximum time between the acknowledgement of a drain and the last start
+	lostReplyTimeout  = 500 * time.Millisecond // time after which a lost reply of the provider counts as such
+	readyAfter        = 900 * time.Millisecond // start-up time of a long-running task
+	maxOverTarget     = 4 * time.Second        // maximum time that a run may exceed its latency target
+	maxListedEnds     = 500                    // maximum number of ends in one report of a worker
+	drainTime         = 2 * time.Second        // maximum time between the acknowledgement of a drain and the last start
 )
 
 // simCluster runs a real scheduler in a simulated cluster on a fake clock. Simulated are the
@@ -51,6 +53,9 @@
 	jobs           int            // number of jobs submitted by shapedLoad
 	accepted       int            // number of jobs whose submission was acknowledged
 	advisor        *fakeAdvisor
+	stopTime       time.Duration // time that a stopped run takes to end
+	providerDelay  time.Duration // time after which the provider carries out an order
+	losesReplies   bool          // the provider's replies to orders are lost
 }
 
 // faults configures the fault injection of a simulated cluster. Rates and shares are from 0 to 1.
@@ -78,6 +83,7 @@
 	end             time.Time // when the run is finished at its pace
 	willFail        bool
 	longRunning     bool
+	stopping        bool // it was stopped and takes stopTime to end
 	startedAt       time.Time
 	bestEffort      bool
 	latencyTarget   time.Duration
@@ -188,7 +194,10 @@
 		case messenger.ListMachines:
 			w.After(20*callDelay, w.sendMachineList)
 		case messenger.MachineOrder:
-			w.After(20*callDelay, func() { w.orderMachine(b) })
+			w.After(max(20*callDelay, w.providerDelay), func() { w.orderMachine(b) })
+			if w.losesReplies {
+				w.After(lostReplyTimeout, func() { w.deliver(messenger.MachineReply{Order: b, Received: w.Now()}) })
+			}
 		case messenger.CallAnswer:
 			onAnswer, ok := w.pendingCalls[b.CallID]
 			if ok {
@@ -311,11 +320,17 @@
 func (w *simCluster) orderMachine(o messenger.MachineOrder) {
 	m := w.machines[o.Machine]
 	reply := messenger.MachineReply{Order: o, OK: m.State == messenger.MachineUp, Refused: m.State != messenger.MachineUp, Reason: "busy", Received: w.Now()}
+	answer := func() {
+		if !w.losesReplies {
+			w.deliver(reply)
+		}
+	}
 	if reply.OK && o.Wave > 0 && m.maintenanceCount > 0 {
-		w.deliver(reply) // the maintenance was done before
+		answer() // the maintenance was done before
 		return
 	}
 	if reply.OK {
+		w.checkMachineOrder(m, o)
 		w.removeWorker(m)
 		m.State = messenger.MachineMoving
 		if o.Wave > 0 {
@@ -332,7 +347,7 @@
 			}
 		})
 	}
-	w.deliver(reply)
+	answer()
 }
 
 // removeWorker removes the worker of a machine.
