replicator, scheduler: decisions of a deposed leader are not forwarded

Cause: a node that does not lead forwards proposals to the leader. For the jobs group these are decisions of its own scheduler, which led a moment ago.

Change: a proposal may name a term. It then fails unless the node leads in that term. The scheduler names its own. Callers of a proposal that failed are told that it was not applied, as before.

--- a/assembler/jobs.go
+++ b/assembler/jobs.go
@@ -52,7 +52,7 @@
 		state: replicator.NewState(now, cfg.Jobs, stored),
 		proposal: func(body any) (replicator.Proposal[registrar.Command], bool) {
 			p, ok := body.(messenger.ProposeJobs)
-			return replicator.Proposal[registrar.Command]{ProposalID: p.ProposalID, Command: p.Command}, ok
+			return replicator.Proposal[registrar.Command]{ProposalID: p.ProposalID, Command: p.Command, Term: p.Term}, ok
 		},
 		resultMessage: func(r replicator.Result[registrar.Result]) messenger.Message {
 			body := messenger.JobsProposalResult{ProposalID: r.ProposalID, Result: r.Value, Failed: r.Failed}
--- a/messenger/job.go
+++ b/messenger/job.go
@@ -113,6 +113,7 @@
 // ProposeJobs proposes a command to the jobs group.
 type ProposeJobs struct {
 	ProposalID uint64
+	Term       uint64 // the command is proposed only if this node leads in that term: it rests on what that leader knows
 	Command    registrar.Command
 }
 
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -12,6 +12,7 @@
 type Proposal[C any] struct {
 	ProposalID uint64
 	Command    C
+	Term       uint64 // if set, the proposal fails unless this node leads in that term, and is not forwarded
 }
 
 // Persisted is the event that the log of the node is synced up to Index.
@@ -225,6 +226,10 @@
 // a failed result if it can do neither.
 func (t *transition[C, S, R]) propose(p Proposal[C]) {
 	s := &t.state
+	if p.Term != 0 && (s.role != Leader || s.term != p.Term) {
+		t.effects.Results = append(t.effects.Results, Result[R]{ProposalID: p.ProposalID, Failed: true})
+		return
+	}
 	if s.role == Leader && !s.resigning {
 		t.appendEntry(Entry[C]{Kind: CommandEntry, Command: p.Command, Origin: s.cfg.Name, ProposalID: p.ProposalID})
 		return
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -187,7 +187,7 @@
 	t.batch, t.lastBatchAt = indexer.List[queuedCommand]{}, t.now
 	t.lastProposalID++
 	t.continuations = t.continuations.With(t.lastProposalID, continuations)
-	t.Send(messenger.Jobs, messenger.ProposeJobs{ProposalID: t.lastProposalID, Command: c})
+	t.Send(messenger.Jobs, messenger.ProposeJobs{ProposalID: t.lastProposalID, Term: t.term, Command: c})
 }
 
 func (t *transition) setWorker(w worker) { t.workers.Set(w.ID, w) }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -179,11 +179,10 @@
 	var out []messenger.Message
 	w.steps++
 	w.state, out = w.state.Step(w.Now(), body)
-	term := w.term
 	for _, m := range out {
 		switch b := m.Body.(type) {
 		case messenger.ProposeJobs:
-			w.After(commitDelay, func() { w.applyProposal(term, b) })
+			w.After(commitDelay, func() { w.applyProposal(b) })
 		case messenger.Order:
 			w.checkOrder(b)
 			w.After(callDelay, func() { w.handleOrder(b) })
@@ -223,8 +222,8 @@
 }
 
 // applyProposal commits a proposal, unless the leader has changed since.
-func (w *simCluster) applyProposal(term uint64, p messenger.ProposeJobs) {
-	if term != w.term {
+func (w *simCluster) applyProposal(p messenger.ProposeJobs) {
+	if p.Term != w.term {
 		return // a deposed leader cannot commit
 	}
 	var result registrar.Result
