recorder: a failed sync is tried again, and the process goes on

From then on no configuration came and accepted jobs had no runs.

Cause: a recorder took one failed sync for the end of its disk and ended the process. A fault of all disks at a time thus ended all controllers, and one that was started again while its disk failed ended again.

Change: a failed write or sync is tried again every 200 ms, as on a full disk; nothing is acknowledged meanwhile. After a failed sync the log is cut to its last synced length, and what followed is written again, since a later sync may succeed without it. A controller also waits for its disk at its start, and syncs the log before it counts what it has read. OpenStore takes a configuration with the function that syncs a file; the soak test replaces it. OnDiskFull is now OnDiskError; "disk works again" replaces "disk has room".

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -67,9 +68,10 @@
 	Log                zerolog.Logger
 	Reporter           *reporter.Reporter
 	Scheduler          scheduler.Config
-	Dispatcher         dispatcher.Config // only the functions that make calls; the controller sets the other fields
-	OnLeadershipChange func(leads bool)  // called with true when this node becomes leader, with false when it stops leading
-	OnFailure          func(error)       // called on an error after which the node cannot continue
+	Dispatcher         dispatcher.Config    // only the functions that make calls; the controller sets the other fields
+	OnLeadershipChange func(leads bool)     // called with true when this node becomes leader, with false when it stops leading
+	SyncFile           func(*os.File) error // makes the writes of a file in DataFolder durable; nil: (*os.File).Sync
+	OnFailure          func(error)          // called on an error after which the node cannot continue
 }
 
 // Controller is a running node of the jobs group.
@@ -94,7 +96,7 @@
 // cannot be opened.
 func NewController(cfg Config) (*Controller, error) {
 	c := &Controller{cfg: cfg, started: make(chan struct{})}
-	err := c.openDisk()
+	err := c.openDiskWithRetry()
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
@@ -107,6 +109,26 @@
 	return c, nil
 }
 
+// openDiskWithRetry opens the disk, again and again while it is full or fails. A node that ended instead would be
+// restarted and end again as long as the disk does not work.
+func (c *Controller) openDiskWithRetry() error {
+	failing := false
+	for {
+		err := c.openDisk()
+		if !recorder.IsRetryable(err) {
+			if failing && err == nil {
+				c.cfg.Reporter.DiskError(nil)
+			}
+			return err
+		}
+		if !failing {
+			c.cfg.Reporter.DiskError(err)
+			failing = true
+		}
+		time.Sleep(recorder.DiskRetryInterval)
+	}
+}
+
 // openDisk reads the disk ID and opens the log. The empty disk of an initial voter gets the
 // initial disk ID of that voter and the log of the new group. Any other empty disk gets a new
 // disk ID, so that a node that lost its log does not vote as the voter it was before.
@@ -130,7 +152,9 @@
 	if c.diskID == "" {
 		c.diskID = recorder.NewDiskID(c.cfg.Name)
 	}
-	c.store, c.stored, err = recorder.OpenStore(c.cfg.DataFolder, groupName, encoder.JobsCodec(), initial, storedDiskID != "")
+	c.store, c.stored, err = recorder.OpenStore(recorder.StoreConfig[registrar.Command, registrar.State, registrar.Result]{
+		Folder: c.cfg.DataFolder, Group: groupName, Codec: encoder.JobsCodec(), Initial: initial, HasDiskID: storedDiskID != "", SyncFile: c.cfg.SyncFile,
+	})
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
@@ -209,8 +233,8 @@
 			c.cfg.Reporter.Count("jobsWrites", int64(n))
 			c.cfg.Reporter.Time("jobsSync", took)
 		},
-		OnDiskFull: c.cfg.Reporter.DiskFull,
-		OnFailure:  c.cfg.OnFailure,
+		OnDiskError: c.cfg.Reporter.DiskError,
+		OnFailure:   c.cfg.OnFailure,
 	})
 	c.pipeline = runner.NewPipeline(runner.PipelineConfig{
 		Node: node,
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -15,8 +15,13 @@
 // ringSize is the capacity of the write queue of one recorder. Put blocks when it is full.
 const ringSize = 4096
 
-// diskFullRetryInterval is the time between two attempts to write to a full disk.
-const diskFullRetryInterval = 200 * time.Millisecond
+// DiskRetryInterval is the time between two attempts to write to a disk that is full or fails.
+const DiskRetryInterval = 200 * time.Millisecond
+
+// IsRetryable reports whether the same write may succeed later: the disk is full, or it failed.
+func IsRetryable(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EIO)
+}
 
 // Config configures the recorder of one group.
 type Config[C, S, R any] struct {
@@ -24,8 +29,8 @@
 	Send        func(replicator.Message[C, S, R])    // called with each message of a queued write, after this write and all earlier ones are synced
 	OnPersisted func(replicator.Persisted)           // called with the last entry of a batch after the sync, if the batch has entries
 	OnSync      func(writes int, took time.Duration) // called after each sync with the number of writes and the time taken to write and sync them
-	OnDiskFull  func(error)                          // called with the error when the disk is full, and with nil once it has room again
-	OnFailure   func(error)                          // called when a sync fails, a write fails for a reason other than a full disk, or Stop is called while the disk is full; the recorder has stopped and the voter must stop too
+	OnDiskError func(error)                          // called with the error when the disk is full or fails, and with nil once it works again
+	OnFailure   func(error)                          // called on an error that is not retryable, or if Stop is called while the disk is full or fails; the recorder has stopped and the voter must stop too
 }
 
 // Recorder writes the log of one group on its own goroutine. All writes that are queued
@@ -63,7 +68,7 @@
 }
 
 // Stop rejects further writes and returns once the queued ones are written. If the disk is
-// full, it drops the queued writes.
+// full or fails, it drops the queued writes.
 func (r *Recorder[C, S, R]) Stop() {
 	r.ring.Close()
 	r.cancel()
@@ -82,24 +87,24 @@
 	}
 }
 
-// appendWithRetry appends a write and retries while the disk is full. In the meantime the
+// retry calls write again and again while the disk is full or fails. In the meantime the
 // voter acknowledges nothing, and the other voters continue without it. If the voter
-// stopped instead, it would be restarted and stop again as long as the disk is full.
-func appendWithRetry[C, S, R any](ctx context.Context, cfg Config[C, S, R], w replicator.Write[C, S]) error {
+// stopped instead, it would be restarted and stop again as long as the disk does not work.
+func (cfg Config[C, S, R]) retry(ctx context.Context, write func() error) error {
 	reported := false
 	for {
-		err := cfg.Store.Append(w)
-		if !errors.Is(err, syscall.ENOSPC) {
+		err := write()
+		if !IsRetryable(err) {
 			if reported && err == nil {
-				cfg.OnDiskFull(nil)
+				cfg.OnDiskError(nil)
 			}
 			return err
 		}
 		if !reported {
-			cfg.OnDiskFull(err)
+			cfg.OnDiskError(err)
 			reported = true
 		}
-		timer := time.NewTimer(diskFullRetryInterval)
+		timer := time.NewTimer(DiskRetryInterval)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -120,7 +125,7 @@
 			continue
 		}
 		writes++
-		err := appendWithRetry(ctx, cfg, *w.Write)
+		err := cfg.retry(ctx, func() error { return cfg.Store.Append(*w.Write) })
 		if err != nil {
 			return err
 		}
@@ -130,7 +135,7 @@
 		}
 	}
 	if writes > 0 {
-		err := cfg.Store.Sync()
+		err := cfg.retry(ctx, cfg.Store.Sync)
 		if err != nil {
 			return err
 		}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -50,7 +50,7 @@
 				Send:        func(m testMessage) { sent.TryPut(m) },
 				OnPersisted: func(p replicator.Persisted) { persisted.TryPut(p) },
 				OnSync:      func(int, time.Duration) {},
-				OnDiskFull:  func(err error) { failed.TryPut(err) },
+				OnDiskError: func(err error) { failed.TryPut(err) },
 				OnFailure:   func(err error) { failed.TryPut(err) },
 			})
 			putEntry(r, 2)
@@ -90,11 +90,11 @@
 	store.log, err = os.OpenFile("/dev/full", os.O_WRONLY, 0)
 	must.NoError(t, err)
 	var fullReports []bool
-	cfg := Config[keeper.Command, keeper.State, keeper.Result]{Store: store, OnDiskFull: func(err error) {
+	cfg := Config[keeper.Command, keeper.State, keeper.Result]{Store: store, OnDiskError: func(err error) {
 		fullReports = append(fullReports, err != nil)
 		store.log = log
 	}}
-	must.NoError(t, appendWithRetry(t.Context(), cfg, testWrite{Term: 2, ReplaceFrom: 2, Entries: []testEntry{entry(2)}}))
+	must.NoError(t, cfg.retry(t.Context(), func() error { return store.Append(testWrite{Term: 2, ReplaceFrom: 2, Entries: []testEntry{entry(2)}}) }))
 	must.Eq(t, []bool{true, false}, fullReports)
 	must.NoError(t, store.Close())
 	_, stored, err := openStore(t, folder, true)
--- a/recorder/store.go
+++ b/recorder/store.go
@@ -17,53 +17,70 @@
 	fileMode   = 0o600
 )
 
+// StoreConfig configures a Store.
+type StoreConfig[C, S, R any] struct {
+	Folder    string
+	Group     string // name of the files without extension
+	Codec     encoder.Codec[C, S, R]
+	Initial   replicator.StoredState[C, S] // state of a group that has neither a log nor a snapshot
+	HasDiskID bool                         // the folder has a disk ID, so the log must exist
+	SyncFile  func(*os.File) error         // makes the writes of a file durable; nil: (*os.File).Sync
+}
+
 // Store is the log and the snapshot of one group in a data folder.
 type Store[C, S, R any] struct {
-	folder string
-	group  string
-	codec  encoder.Codec[C, S, R]
-	log    *os.File
+	cfg          StoreConfig[C, S, R]
+	log          *os.File
+	durableBytes int64  // length of the part of the log that is known to be on the disk
+	unsynced     []byte // records that follow that part
+	tailInvalid  bool   // the log may not hold all unsynced records: the next sync writes them again
 }
 
 // OpenStore opens the files of a group and returns the state on disk. If the group has
 // neither a log nor a snapshot, OpenStore returns the initial state and, if that has a
-// snapshot, writes it to disk. With hasDiskID set, it returns an error that wraps ErrCorrupt
+// snapshot, writes it to disk. With HasDiskID set, it returns an error that wraps ErrCorrupt
 // if there is no log, since a disk ID is written only after the logs on its disk: the term
 // and the vote of the node would be lost with the log. OpenStore also returns such an error
 // if a record of the log or the snapshot is corrupt.
-func OpenStore[C, S, R any](folder, group string, codec encoder.Codec[C, S, R], initial replicator.StoredState[C, S], hasDiskID bool) (*Store[C, S, R], replicator.StoredState[C, S], error) {
-	s := &Store[C, S, R]{folder: folder, group: group, codec: codec}
-	err := os.MkdirAll(folder, folderMode)
+func OpenStore[C, S, R any](cfg StoreConfig[C, S, R]) (*Store[C, S, R], replicator.StoredState[C, S], error) {
+	if cfg.SyncFile == nil {
+		cfg.SyncFile = (*os.File).Sync
+	}
+	s := &Store[C, S, R]{cfg: cfg}
+	err := os.MkdirAll(cfg.Folder, folderMode)
 	if err != nil {
-		return nil, initial, fmt.Errorf("create data folder: %w", err)
+		return nil, cfg.Initial, fmt.Errorf("create data folder: %w", err)
 	}
-	stored, found, err := s.load(initial)
+	stored, found, err := s.load(cfg.Initial)
 	if err != nil {
-		return nil, initial, fmt.Errorf("load %s: %w", group, err)
+		return nil, cfg.Initial, fmt.Errorf("load %s: %w", cfg.Group, err)
 	}
-	if !found.log && hasDiskID {
-		return nil, initial, fmt.Errorf("%s is missing: %w", s.path("log"), ErrCorrupt)
+	if !found.log && cfg.HasDiskID {
+		return nil, cfg.Initial, fmt.Errorf("%s is missing: %w", s.path("log"), ErrCorrupt)
 	}
 	if !found.log && !found.snapshot && stored.Snapshot.Index > 0 {
 		err = s.rewrite(replicator.Write[C, S]{Term: stored.Term, Snapshot: &stored.Snapshot})
 		if err != nil {
-			return nil, initial, fmt.Errorf("write initial snapshot of %s: %w", group, err)
+			return nil, cfg.Initial, fmt.Errorf("write initial snapshot of %s: %w", cfg.Group, err)
 		}
 		return s, stored, nil
 	}
 	s.log, err = os.OpenFile(s.path("log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
-		return nil, initial, fmt.Errorf("open log: %w", err)
+		return nil, cfg.Initial, fmt.Errorf("open log: %w", err)
+	}
+	err = cfg.SyncFile(s.log) // a process that was killed may have left records that are not durable yet
+	if err == nil {
+		err = syncFolder(cfg.Folder, cfg.SyncFile)
 	}
-	err = syncFolder(folder)
 	if err != nil {
-		return nil, initial, fmt.Errorf("sync data folder: %w", err)
+		return nil, cfg.Initial, fmt.Errorf("sync log of %s: %w", cfg.Group, errors.Join(err, s.log.Close()))
 	}
 	return s, stored, nil
 }
 
 func (s *Store[C, S, R]) path(extension string) string {
-	return filepath.Join(s.folder, s.group+"."+extension)
+	return filepath.Join(s.cfg.Folder, s.cfg.Group+"."+extension)
 }
 
 // foundFiles tells which files of a group exist.
@@ -99,10 +116,11 @@
 			return stored, found, fmt.Errorf("truncate torn write: %w", err)
 		}
 	}
+	s.durableBytes = int64(validBytes)
 	var decodeErr error
 	stored = stored.Replay(func(yield func(replicator.Write[C, S]) bool) {
 		for _, p := range payloads {
-			w, err := s.codec.UnmarshalWrite(p)
+			w, err := s.cfg.Codec.UnmarshalWrite(p)
 			if err != nil {
 				decodeErr = fmt.Errorf("decode log: %w", err)
 				return
@@ -120,7 +138,7 @@
 	if err != nil || len(payloads) != 1 || validBytes != len(data) {
 		return stored, fmt.Errorf("%s: %w", s.path("snapshot"), ErrCorrupt)
 	}
-	w, err := s.codec.UnmarshalWrite(payloads[0])
+	w, err := s.cfg.Codec.UnmarshalWrite(payloads[0])
 	if err != nil {
 		return stored, fmt.Errorf("decode: %w", err)
 	}
@@ -139,23 +157,30 @@
 	if w.Snapshot != nil {
 		err := s.rewrite(w)
 		if err != nil {
-			return fmt.Errorf("rewrite %s: %w", s.group, err)
+			return fmt.Errorf("rewrite %s: %w", s.cfg.Group, err)
 		}
 		return nil
 	}
-	data, err := s.codec.MarshalWrite(w)
+	data, err := s.cfg.Codec.MarshalWrite(w)
 	if err != nil {
-		return fmt.Errorf("append to %s: %w", s.group, err)
+		return fmt.Errorf("append to %s: %w", s.cfg.Group, err)
 	}
-	n, err := s.log.Write(frameRecord(data))
+	record := frameRecord(data)
+	if s.tailInvalid {
+		s.unsynced = append(s.unsynced, record...)
+		return nil
+	}
+	n, err := s.log.Write(record)
 	if err == nil {
+		s.unsynced = append(s.unsynced, record...)
 		return nil
 	}
 	truncateErr := s.truncateTail(int64(n))
 	if truncateErr != nil {
-		return fmt.Errorf("append to %s failed (%v); truncate torn write: %w", s.group, err, truncateErr)
+		s.tailInvalid = true
+		return fmt.Errorf("append to %s failed (%v); truncate torn write: %w", s.cfg.Group, err, truncateErr)
 	}
-	return fmt.Errorf("append to %s: %w", s.group, err)
+	return fmt.Errorf("append to %s: %w", s.cfg.Group, err)
 }
 
 // truncateTail removes the last n bytes of the log.
@@ -174,11 +199,35 @@
 	return nil
 }
 
-// Sync makes all appended writes durable.
+// Sync makes all appended writes durable. After a failed sync it is unknown which of them are on the disk, and the
+// operating system may report the next sync as a success although they are not. So Sync truncates the log to the part
+// that is known to be durable, which is all that a restarted process may rely on, and the next call writes the rest again.
 func (s *Store[C, S, R]) Sync() error {
-	err := s.log.Sync()
+	if s.tailInvalid {
+		err := s.rewriteTail()
+		if err != nil {
+			return fmt.Errorf("write unsynced records of %s again: %w", s.cfg.Group, err)
+		}
+	}
+	err := s.cfg.SyncFile(s.log)
 	if err != nil {
-		return fmt.Errorf("sync %s: %w", s.group, err)
+		s.tailInvalid = true
+		return fmt.Errorf("sync %s: %w", s.cfg.Group, errors.Join(err, s.log.Truncate(s.durableBytes)))
+	}
+	s.durableBytes += int64(len(s.unsynced))
+	s.unsynced, s.tailInvalid = nil, false
+	return nil
+}
+
+// rewriteTail replaces what follows the durable part of the log by the unsynced records.
+func (s *Store[C, S, R]) rewriteTail() error {
+	err := s.log.Truncate(s.durableBytes)
+	if err != nil {
+		return fmt.Errorf("truncate log: %w", err)
+	}
+	_, err = s.log.Write(s.unsynced)
+	if err != nil {
+		return fmt.Errorf("append to log: %w", err)
 	}
 	return nil
 }
@@ -187,7 +236,7 @@
 func (s *Store[C, S, R]) Close() error {
 	err := s.log.Close()
 	if err != nil {
-		return fmt.Errorf("close %s: %w", s.group, err)
+		return fmt.Errorf("close %s: %w", s.cfg.Group, err)
 	}
 	return nil
 }
@@ -196,16 +245,18 @@
 // that begins before the snapshot; the next start skips the entries that the snapshot
 // covers.
 func (s *Store[C, S, R]) rewrite(w replicator.Write[C, S]) error {
-	err := s.replaceRecord("snapshot", replicator.Write[C, S]{Term: w.Term, VotedFor: w.VotedFor, Snapshot: w.Snapshot})
+	_, err := s.replaceRecord("snapshot", replicator.Write[C, S]{Term: w.Term, VotedFor: w.VotedFor, Snapshot: w.Snapshot})
 	if err != nil {
 		return fmt.Errorf("replace snapshot: %w", err)
 	}
-	err = s.replaceRecord("log", replicator.Write[C, S]{Term: w.Term, VotedFor: w.VotedFor, ReplaceFrom: w.ReplaceFrom, Entries: w.Entries})
+	n, err := s.replaceRecord("log", replicator.Write[C, S]{Term: w.Term, VotedFor: w.VotedFor, ReplaceFrom: w.ReplaceFrom, Entries: w.Entries})
 	if err != nil {
 		return fmt.Errorf("replace log: %w", err)
 	}
 	if s.log != nil {
-		err = s.log.Close()
+		old := s.log
+		s.log = nil // a failed close leaves the file closed too
+		err = old.Close()
 		if err != nil {
 			return fmt.Errorf("close old log: %w", err)
 		}
@@ -214,21 +265,27 @@
 	if err != nil {
 		return fmt.Errorf("open new log: %w", err)
 	}
+	s.durableBytes, s.unsynced, s.tailInvalid = int64(n), nil, false
 	return nil
 }
 
-// replaceRecord replaces the content of a file with a single record.
-func (s *Store[C, S, R]) replaceRecord(extension string, w replicator.Write[C, S]) error {
-	data, err := s.codec.MarshalWrite(w)
+// replaceRecord replaces the content of a file with a single record and returns the length of that record.
+func (s *Store[C, S, R]) replaceRecord(extension string, w replicator.Write[C, S]) (int, error) {
+	data, err := s.cfg.Codec.MarshalWrite(w)
 	if err != nil {
-		return fmt.Errorf("encode: %w", err)
+		return 0, fmt.Errorf("encode: %w", err)
 	}
-	return ReplaceFile(s.path(extension), frameRecord(data))
+	record := frameRecord(data)
+	return len(record), replaceFile(s.path(extension), record, s.cfg.SyncFile)
 }
 
 // ReplaceFile atomically replaces the content of a file: after a crash, the file holds
 // either the old or the new content.
 func ReplaceFile(path string, data []byte) error {
+	return replaceFile(path, data, (*os.File).Sync)
+}
+
+func replaceFile(path string, data []byte, syncFile func(*os.File) error) error {
 	tempPath := path + ".next"
 	f, err := os.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
 	if err != nil {
@@ -236,7 +293,7 @@
 	}
 	_, err = f.Write(data)
 	if err == nil {
-		err = f.Sync()
+		err = syncFile(f)
 	}
 	err = errors.Join(err, f.Close())
 	if err != nil {
@@ -246,16 +303,16 @@
 	if err != nil {
 		return fmt.Errorf("rename to %s: %w", path, err)
 	}
-	return syncFolder(filepath.Dir(path))
+	return syncFolder(filepath.Dir(path), syncFile)
 }
 
 // syncFolder makes the creation and renaming of files in a folder durable.
-func syncFolder(path string) error {
+func syncFolder(path string, syncFile func(*os.File) error) error {
 	dir, err := os.Open(path)
 	if err != nil {
 		return fmt.Errorf("open folder: %w", err)
 	}
-	err = errors.Join(dir.Sync(), dir.Close())
+	err = errors.Join(syncFile(dir), dir.Close())
 	if err != nil {
 		return fmt.Errorf("sync folder %s: %w", path, err)
 	}
--- a/recorder/store_test.go
+++ b/recorder/store_test.go
@@ -16,6 +16,7 @@
 
 type (
 	testStore       = Store[keeper.Command, keeper.State, keeper.Result]
+	testStoreConfig = StoreConfig[keeper.Command, keeper.State, keeper.Result]
 	testStoredState = replicator.StoredState[keeper.Command, keeper.State]
 	testWrite       = replicator.Write[keeper.Command, keeper.State]
 	testEntry       = replicator.Entry[keeper.Command]
@@ -27,7 +28,7 @@
 
 func openStore(t *testing.T, folder string, hasDiskID bool) (*testStore, testStoredState, error) {
 	t.Helper()
-	return OpenStore(folder, "group", encoder.DeclarationsCodec(), initialState(), hasDiskID)
+	return OpenStore(testStoreConfig{Folder: folder, Group: "group", Codec: encoder.DeclarationsCodec(), Initial: initialState(), HasDiskID: hasDiskID})
 }
 
 func entry(index uint64) testEntry {
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -98,15 +100,19 @@
 	return metrics.GetOrRegisterCounter(name, r.Registry).Count()
 }
 
-// DiskFull reports that a write is blocked because the disk is full. A nil error reports
-// that the disk has space again.
-func (r *Reporter) DiskFull(err error) {
-	if err != nil {
+// DiskError reports that a write is blocked because the disk is full or fails. A nil error reports
+// that the disk works again.
+func (r *Reporter) DiskError(err error) {
+	switch {
+	case err == nil:
+		r.cfg.Log.Info().Msg("disk works again")
+	case errors.Is(err, syscall.ENOSPC):
 		r.Count("diskFull", 1)
 		r.cfg.Log.Warn().Err(err).Msg("disk full")
-		return
+	default:
+		r.Count("diskErrors", 1)
+		r.cfg.Log.Error().Err(err).Msg("disk fails")
 	}
-	r.cfg.Log.Info().Msg("disk has room")
 }
 
 // Gauge sets the value of a gauge. It creates the gauge if it doesn't exist.
--- a/server/disks.go
+++ b/server/disks.go
@@ -39,7 +39,7 @@
 	sendClaims       func(assembler.ClaimsMessage)
 	onPersisted      func(messenger.Stage, replicator.Persisted)
 	onSync           func(group string, writes int, elapsed time.Duration)
-	onDiskFull       func(error)
+	onDiskError      func(error)
 	onFailure        func(error)
 }
 
@@ -100,11 +100,11 @@
 // an error if the files of a group are missing.
 func (s *storage) openStores(folder string, hasDiskID bool) error {
 	var err error
-	s.declarationsStore, s.declarations, err = recorder.OpenStore(folder, groupDeclarations, encoder.DeclarationsCodec(), s.declarations, hasDiskID)
+	s.declarationsStore, s.declarations, err = recorder.OpenStore(recorder.StoreConfig[keeper.Command, keeper.State, keeper.Result]{Folder: folder, Group: groupDeclarations, Codec: encoder.DeclarationsCodec(), Initial: s.declarations, HasDiskID: hasDiskID})
 	if err != nil {
 		return fmt.Errorf("open log of declarations: %w", err)
 	}
-	s.claimsStore, s.claims, err = recorder.OpenStore(folder, groupClaims, encoder.ClaimsCodec(), s.claims, hasDiskID)
+	s.claimsStore, s.claims, err = recorder.OpenStore(recorder.StoreConfig[claimer.Command, claimer.Claims, claimer.Result]{Folder: folder, Group: groupClaims, Codec: encoder.ClaimsCodec(), Initial: s.claims, HasDiskID: hasDiskID})
 	if err != nil {
 		return fmt.Errorf("open log of claims: %w", err)
 	}
@@ -121,7 +121,7 @@
 		Send:        callbacks.sendDeclarations,
 		OnPersisted: func(p replicator.Persisted) { callbacks.onPersisted(messenger.Declarations, p) },
 		OnSync:      func(n int, elapsed time.Duration) { callbacks.onSync(groupDeclarations, n, elapsed) },
-		OnDiskFull:  callbacks.onDiskFull,
+		OnDiskError: callbacks.onDiskError,
 		OnFailure:   callbacks.onFailure,
 	})
 	s.claimsRecorder = recorder.NewRecorder(recorder.Config[claimer.Command, claimer.Claims, claimer.Result]{
@@ -129,7 +129,7 @@
 		Send:        callbacks.sendClaims,
 		OnPersisted: func(p replicator.Persisted) { callbacks.onPersisted(messenger.Claims, p) },
 		OnSync:      func(n int, elapsed time.Duration) { callbacks.onSync(groupClaims, n, elapsed) },
-		OnDiskFull:  callbacks.onDiskFull,
+		OnDiskError: callbacks.onDiskError,
 		OnFailure:   callbacks.onFailure,
 	})
 }
--- a/server/server.go
+++ b/server/server.go
@@ -285,7 +285,7 @@
 			s.reporter.Count(group+"Writes", int64(n))
 			s.reporter.Time(group+"Sync", elapsed)
 		},
-		onDiskFull: s.reporter.DiskFull,
+		onDiskError: s.reporter.DiskError,
 		onFailure:  s.cfg.OnFailure,
 	})
 	s.pipeline = runner.NewPipeline(runner.PipelineConfig{
--- a/surveyor/recovery.go
+++ b/surveyor/recovery.go
@@ -77,7 +77,7 @@
 func openClaims(folder string) (*claimsStore, assembler.ClaimsStoredState, error) {
 	members := []replicator.Member{{Name: voterName, DiskID: recorder.InitialDiskID(voterName)}}
 	first := replicator.Bootstrap[claimer.Command](members, claimer.NewClaims())
-	store, stored, err := recorder.OpenStore(folder, claimsGroup, encoder.ClaimsCodec(), first, false)
+	store, stored, err := recorder.OpenStore(recorder.StoreConfig[claimer.Command, claimer.Claims, claimer.Result]{Folder: folder, Group: claimsGroup, Codec: encoder.ClaimsCodec(), Initial: first})
 	if err != nil {
 		return nil, stored, fmt.Errorf("open log: %w", err)
 	}
