registrar, scheduler: the success of an earlier run completes its task

That this is its cause is suspected: the simulated cluster shows the same sequence.

Cause: a worker that is cut off for longer than its lease reports a success after its run was ended and its task assigned again. The success was acknowledged, so that the worker forgot it, but ignored by the state. If the next run was lost, the task started once more.

Change: the success of an earlier run completes the task, or the gang. Later runs are dropped before their start is sent, or stopped.

--- a/registrar/state.go
+++ b/registrar/state.go
@@ -302,7 +302,9 @@
 }
 
 // withEnd records the end of the last run of a task, and the outcome of the job if that ends
-// too. It ignores the end of an earlier run.
+// too. It ignores the end of an earlier run, unless that run was successful: the run was recorded as ended before its
+// worker reported the success, which the worker forgets once it is acknowledged. The task is done then, also if it is
+// assigned again.
 func (s State) withEnd(at time.Time, end End) State {
 	j, ok := s.Job(end.Task.Job)
 	if !ok {
@@ -314,11 +316,12 @@
 	}
 	t := o.Steps[end.Task.Step][end.Task.Index]
 	step := j.Steps[end.Task.Step]
-	doneAfterLoss := t.Phase == Waiting && end.Reason == EndDone && !step.LongRunning // the run was recorded as ended before its worker reported the success
-	if (t.Phase != Running && !doneAfterLoss) || end.Run != t.Run {
+	isLast := t.Phase == Running && end.Run == t.Run
+	isLateSuccess := end.Reason == EndDone && !step.LongRunning && end.Run <= t.Run && (t.Phase == Waiting || t.Phase == Running)
+	if !isLast && !isLateSuccess {
 		return s
 	}
-	if doneAfterLoss {
+	if t.Phase == Waiting {
 		j.Running++ // the recorded end has already subtracted the run, which is subtracted again below
 	}
 	j.Begun = j.Begun || end.Reason != EndLost // a worker reports the ends of runs that it has started
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -168,6 +168,7 @@
 	lastEnd := w.ackedEnd
 	var ends []registrar.End
 	var reported []workerEnd
+	var late []registrar.End
 	for _, e := range m.Ended {
 		if e.Number <= w.ackedEnd {
 			continue
@@ -176,7 +177,7 @@
 		i := w.find(e.Task)
 		if i < 0 || w.runs.At(i).number != e.Run {
 			if e.Reason == registrar.EndDone {
-				ends = append(ends, e.End) // the run was ended as lost; its result counts unless the task has started again
+				ends, late = append(ends, e.End), append(late, e.End) // the run was ended as lost; its success counts
 			}
 			continue
 		}
@@ -205,7 +206,21 @@
 	}
 	w.endsPending = true
 	t.setWorker(w)
-	t.propose(registrar.Command{Ends: ends}, continuation{ends: reported, worker: w.ID, ackedEnd: lastEnd, workerIncarnation: w.Incarnation})
+	t.propose(registrar.Command{Ends: ends}, continuation{ends: reported, lateEnds: late, worker: w.ID, ackedEnd: lastEnd, workerIncarnation: w.Incarnation})
+}
+
+// stopSuperseded stops the later runs of a task, or of its gang, after the success of an earlier run is committed.
+func (t *transition) stopSuperseded(e registrar.End) {
+	for _, w := range t.workers.All() {
+		for _, r := range w.runs.All() {
+			sameStep := r.task.Job == e.Task.Job && r.task.Occurrence == e.Task.Occurrence && r.task.Step == e.Task.Step
+			if !sameStep || r.number <= e.Run || !r.committed || r.endProposed || t.isAssigned(w.ID, r) {
+				continue
+			}
+			current, _ := t.workers.Get(w.ID)
+			t.stop(current, r, "an earlier run of its task was successful")
+		}
+	}
 }
 
 // withOutcome returns the worker with a finished run counted in its failure rate. The
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -13,6 +13,7 @@
 	callID            uint64            // call to answer; zero: none
 	starts            []registrar.Start // start orders to send
 	ends              []workerEnd       // runs to remove
+	lateEnds          []registrar.End   // successes of runs that had been ended before: see stopSuperseded
 	worker            string            // worker to which the ends up to ackedEnd are then acknowledged
 	ackedEnd          int64
 	stop              workerStop             // stop order to send; none if stop.Run is zero
@@ -325,6 +326,9 @@
 	for _, e := range onCommit.ends {
 		t.handleEndCommitted(e)
 	}
+	for _, e := range onCommit.lateEnds {
+		t.stopSuperseded(e)
+	}
 	if onCommit.ackedEnd > 0 {
 		t.acknowledgeEnds(onCommit)
 	}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -46,6 +46,7 @@
 	lastCallID     uint64 // ID of the last call to the scheduler
 	workersStarted int
 	ackedTasks     map[registrar.TaskID]bool // tasks whose successful end was acknowledged to the worker
+	lastHolds      map[string]messenger.Hold // the last hold sent to each worker
 	faults         faults
 	outcomes       map[string]int // number of ended runs, by reason
 	moves          int            // number of machines moved to another pool
@@ -121,7 +122,7 @@
 	w := &simCluster{
 		Simulator: simulator.NewSimulator(start), t: t, r: rand.New(rand.NewPCG(seed, 1)), start: start,
 		committed: registrar.NewState(), term: 1, machines: make(map[string]*fakeMachine), workers: make(map[string]*fakeWorker),
-		pendingCalls: make(map[uint64]func(messenger.JobAnswer)), ackedTasks: make(map[registrar.TaskID]bool), faults: f, outcomes: make(map[string]int),
+		pendingCalls: make(map[uint64]func(messenger.JobAnswer)), ackedTasks: make(map[registrar.TaskID]bool), lastHolds: make(map[string]messenger.Hold), faults: f, outcomes: make(map[string]int),
 	}
 	config := registrar.Config{Version: 1}
 	names := make([]string, 0, len(pools))
@@ -187,6 +188,7 @@
 			w.checkOrder(b)
 			w.After(callDelay, func() { w.handleOrder(b) })
 		case messenger.Hold:
+			w.lastHolds[b.Worker] = b
 			w.After(callDelay, func() { w.handleHold(b) })
 		case messenger.AdviceRequest:
 			w.advise(b)
