--- a/recorder/failing_test.go
+++ b/recorder/failing_test.go
@@ -154,3 +154,29 @@
 		})
 	}
 }
+
+// TestPowerLossInABatch guards against a log that cannot be read after a power loss, because a later write of a batch was
+// on the disk and an earlier one was not: whatever is left of the last batch, the log is readable up to it.
+func TestPowerLossInABatch(t *testing.T) {
+	folder := t.TempDir()
+	s := openFailing(t, folder)
+	must.NoError(t, s.Append(testWrite{Term: 2, ReplaceFrom: 2, Entries: []testEntry{entry(2)}}))
+	must.NoError(t, s.Sync())
+	must.NoError(t, WriteDiskID(folder, "d"))
+	before, err := os.ReadFile(filepath.Join(folder, "group.log"))
+	must.NoError(t, err)
+	for index := uint64(3); index <= 6; index++ {
+		must.NoError(t, s.Append(testWrite{Term: 2, ReplaceFrom: index, Entries: []testEntry{entry(index)}}))
+		now, err := os.ReadFile(filepath.Join(folder, "group.log"))
+		must.NoError(t, err)
+		must.EqOp(t, len(before), len(now), must.Sprint("a write of the batch has reached the file before its sync"))
+	}
+	must.NoError(t, s.Sync())
+	must.NoError(t, s.Close())
+	after, err := os.ReadFile(filepath.Join(folder, "group.log"))
+	must.NoError(t, err)
+	for kept := len(before); kept <= len(after); kept++ {
+		must.NoError(t, os.WriteFile(filepath.Join(folder, "group.log"), after[:kept], fileMode))
+		must.GreaterEq(t, 1, len(entriesOnDisk(t, folder)))
+	}
+}
