scheduler, runner: a leader whose periodic work panics hands over

Cause: a step handles a message and then does the work that is due. When that work panicked, the message was lost too, the renewal of the leader lease included. The scheduler saw its lease as expired and decided nothing, so its ticks and all other messages succeeded, and most calls did not panic.

Change: a message counts although the work after it panics. A stage fails if most of its ticks within two seconds panic; what others send does not count for this.

--- a/runner/duty.go
+++ b/runner/duty.go
@@ -78,32 +78,32 @@
 // handle passes a message to Handle and resets the timer if the next tick is now due earlier.
 func (d *Duty[T]) handle(cfg Config[T], timer *tickTimer, message T) {
 	now := cfg.Clock()
-	d.guard(cfg, now, func() { cfg.Handle(now, message) })
+	d.guard(cfg, now, false, func() { cfg.Handle(now, message) })
 	timer.advance(now)
 }
 
 // tick calls Tick and sets the timer for the next tick.
 func (d *Duty[T]) tick(cfg Config[T], timer *tickTimer) {
 	now := cfg.Clock()
-	if d.guard(cfg, now, func() { cfg.Tick(now) }) {
+	if d.guard(cfg, now, true, func() { cfg.Tick(now) }) {
 		timer.scheduleNext(now)
 		return
 	}
 	timer.set(now, now.Add(tickDelayAfterPanic))
 }
 
-// guard calls f at time now and returns false if f panicked.
-func (d *Duty[T]) guard(cfg Config[T], now time.Time, f func()) bool {
+// guard calls f, a tick or the handling of a message, at time now and returns false if f panicked.
+func (d *Duty[T]) guard(cfg Config[T], now time.Time, isTick bool, f func()) bool {
 	err := recoverer.Do(f)
 	if err == nil {
-		d.panics = d.panics.WithSuccess()
+		d.panics = d.panics.WithSuccess(isTick)
 		return true
 	}
 	var failed bool
-	d.panics, failed = d.panics.WithPanic(now)
+	d.panics, failed = d.panics.WithPanic(now, isTick)
 	cfg.OnPanic(err)
 	if failed {
-		cfg.OnFailure(fmt.Errorf("most calls panicked: %w", err))
+		cfg.OnFailure(fmt.Errorf("too many panics: %w", err))
 	}
 	return false
 }
--- a/runner/panics.go
+++ b/runner/panics.go
@@ -3,38 +3,43 @@
 import "time"
 
 const (
-	maxPanics          = 64              // number of panics in a row after which a duty fails: its state, not a single message, is the cause
-	panicPeriod        = 2 * time.Second // a duty also fails if most of its calls within such a period panicked
-	minPanicsPerPeriod = 12              // and at least this many did; a tick that always panics does so every tickDelayAfterPanic
+	maxPanics         = 64              // number of panics in a row after which a duty fails: its state, not a single message, is the cause
+	panicPeriod       = 2 * time.Second // a duty also fails if most of its ticks within such a period panicked
+	minPanickingTicks = 12              // and at least this many did; a tick that always panics does so every tickDelayAfterPanic
 )
 
-// panicHistory counts the panics of a duty. A duty whose state makes it panic may still handle some messages, such as
-// those that need no decision, so panics in a row are not the only sign of a failure.
+// panicHistory counts the panics of a duty. A duty that cannot do its periodic work may still handle messages that need
+// no decision, so panics in a row are not the only sign of a failure. Ticks do not depend on what others send.
 type panicHistory struct {
-	inARow    int       // panics since the last call that succeeded
-	since     time.Time // first panic of the current period; zero: none
-	panicked  int       // calls of the period that panicked
-	succeeded int       // other calls of the period
+	inARow         int       // panics since the last call that succeeded
+	since          time.Time // first tick of the current period that panicked; zero: none
+	panickingTicks int       // in the period
+	otherTicks     int       // in the period
 }
 
 // WithSuccess returns the history with a call that did not panic.
-func (h panicHistory) WithSuccess() panicHistory {
+func (h panicHistory) WithSuccess(isTick bool) panicHistory {
 	h.inARow = 0
-	h.succeeded++
+	if isTick {
+		h.otherTicks++
+	}
 	return h
 }
 
 // WithPanic returns the history with a call that panicked at time now, and whether the duty has failed.
-func (h panicHistory) WithPanic(now time.Time) (panicHistory, bool) {
-	if h.since.IsZero() {
-		h.since, h.panicked, h.succeeded = now, 0, 0
-	}
+func (h panicHistory) WithPanic(now time.Time, isTick bool) (panicHistory, bool) {
 	h.inARow++
-	h.panicked++
 	failed := h.inARow == maxPanics
+	if !isTick {
+		return h, failed
+	}
+	if h.since.IsZero() {
+		h.since, h.panickingTicks, h.otherTicks = now, 0, 0
+	}
+	h.panickingTicks++
 	if now.Sub(h.since) < panicPeriod {
 		return h, failed
 	}
-	failed = failed || h.panicked >= minPanicsPerPeriod && h.panicked > h.succeeded
+	failed = failed || h.panickingTicks >= minPanickingTicks && h.panickingTicks > h.otherTicks
 	return panicHistory{inARow: h.inARow}, failed
 }
--- a/runner/panics_test.go
+++ b/runner/panics_test.go
@@ -7,42 +7,58 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestPanicHistory guards against a leader that goes on although nearly all its calls panic: now and then one of them
-// succeeds, so panics in a row never showed the failure. Odd messages must not end a duty that handles the others.
+// TestPanicHistory guards against a leader that goes on although its periodic work always panics: messages that need no
+// decision succeed in between, so panics in a row never showed the failure. Odd messages must not end a duty that does
+// its periodic work.
 func TestPanicHistory(t *testing.T) {
-	const interval = 10 * time.Millisecond
+	never := func(int) bool { return false }
+	always := func(int) bool { return true }
 	tests := map[string]struct {
-		interval time.Duration // between two calls
-		panics   func(n int) bool
-		failedBy time.Duration // latest time of the failure; zero: none within a minute
+		ticks, messages int // in a second
+		tickPanics      func(n int) bool
+		messagePanics   func(n int) bool
+		failedBy        time.Duration // latest time of the failure; zero: none within two minutes
 	}{
-		"no panic":                              {interval: interval, panics: func(int) bool { return false }},
-		"each call":                             {interval: interval, panics: func(int) bool { return true }, failedBy: maxPanics * interval},
-		"all but one in fifty":                  {interval: interval, panics: func(n int) bool { return n%50 != 49 }, failedBy: 2 * panicPeriod},
-		"two of three":                          {interval: interval, panics: func(n int) bool { return n%3 != 0 }, failedBy: 2 * panicPeriod},
-		"each tick and no message":              {interval: tickDelayAfterPanic, panics: func(int) bool { return true }, failedBy: 2 * panicPeriod},
-		"begins after some time":                {interval: interval, panics: func(n int) bool { return n > 1000 && n%50 != 0 }, failedBy: 1000*interval + 2*panicPeriod},
-		"one odd message in three":              {interval: interval, panics: func(n int) bool { return n%3 == 0 }},
-		"an odd message a second, nothing else": {interval: time.Second, panics: func(int) bool { return true }, failedBy: maxPanics * time.Second},
-		"a burst of odd messages":               {interval: interval, panics: func(n int) bool { return n < maxPanics-1 }},
+		"no panic":                           {ticks: 10, messages: 50, tickPanics: never, messagePanics: never},
+		"all calls":                          {ticks: 10, messages: 50, tickPanics: always, messagePanics: always, failedBy: 2 * time.Second},
+		"all ticks":                          {ticks: 10, messages: 50, tickPanics: always, messagePanics: never, failedBy: 2 * panicPeriod},
+		"all ticks, few messages":            {ticks: 10, messages: 1, tickPanics: always, messagePanics: never, failedBy: 2 * panicPeriod},
+		"two ticks of three":                 {ticks: 10, messages: 50, tickPanics: func(n int) bool { return n%3 != 0 }, messagePanics: never, failedBy: 2 * panicPeriod},
+		"all ticks after some time":          {ticks: 10, messages: 50, tickPanics: func(n int) bool { return n > 300 }, messagePanics: never, failedBy: 30*time.Second + 2*panicPeriod},
+		"one tick":                           {ticks: 10, messages: 50, tickPanics: func(n int) bool { return n == 100 }, messagePanics: never},
+		"one tick of three":                  {ticks: 10, messages: 50, tickPanics: func(n int) bool { return n%3 == 0 }, messagePanics: never},
+		"most messages":                      {ticks: 10, messages: 50, tickPanics: never, messagePanics: func(n int) bool { return n%50 != 0 }},
+		"a burst of messages":                {ticks: 1, messages: 100, tickPanics: never, messagePanics: func(n int) bool { return n < maxPanics-1 }},
+		"no ticks, an odd message a second":  {messages: 1, messagePanics: always, failedBy: maxPanics * time.Second},
+		"no ticks, odd messages among other": {messages: 50, messagePanics: func(n int) bool { return n%2 == 0 }},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			start := time.Unix(1_800_000_000, 0)
 			var h panicHistory
 			failedAt := time.Duration(0)
-			for n := 0; time.Duration(n)*tt.interval <= 2*time.Minute && failedAt == 0; n++ {
-				var failed bool
-				at := time.Duration(n+1) * tt.interval
-				if tt.panics(n) {
-					h, failed = h.WithPanic(start.Add(at))
-				} else {
-					h = h.WithSuccess()
+			call := func(at time.Duration, isTick, panics bool) {
+				if !panics {
+					h = h.WithSuccess(isTick)
+					return
 				}
-				if failed {
+				var failed bool
+				h, failed = h.WithPanic(start.Add(at), isTick)
+				if failed && failedAt == 0 {
 					failedAt = at
 				}
 			}
+			ticks, messages := 0, 0
+			for at := time.Millisecond; at <= 2*time.Minute; at += time.Millisecond {
+				if tt.ticks > 0 && at%(time.Second/time.Duration(tt.ticks)) == 0 {
+					call(at, true, tt.tickPanics(ticks))
+					ticks++
+				}
+				if at%(time.Second/time.Duration(tt.messages)) == 0 {
+					call(at, false, tt.messagePanics(messages))
+					messages++
+				}
+			}
 			must.EqOp(t, tt.failedBy > 0, failedAt > 0)
 			must.LessEq(t, tt.failedBy, failedAt)
 		})
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -5,6 +5,7 @@
 
 	"laburnumwind/indexer"
 	"laburnumwind/messenger"
+	"laburnumwind/recoverer"
 	"laburnumwind/registrar"
 )
 
@@ -105,9 +106,30 @@
 	return at
 }
 
-// Step handles one message and returns the next state and the messages to send.
+// Step handles one message and returns the next state and the messages to send. If the work that is due after the
+// message panics, the message still counts, for example a renewed leader lease. The work stays due: the next tick panics
+// too, and shows that the stage has failed.
 func (s State) Step(now time.Time, body any) (State, []messenger.Message) {
 	t := s.begin(now)
+	_, isTick := body.(messenger.Tick)
+	if isTick {
+		t.runDueWork()
+		return t.end(), t.Messages
+	}
+	err := recoverer.Do(func() {
+		t.handle(body)
+		t.runDueWork()
+	})
+	if err != nil {
+		t = s.begin(now)
+		t.handle(body)
+		t.logDecision(messenger.Decision{Event: "dueWorkPanicked", Reason: err.Error()})
+	}
+	return t.end(), t.Messages
+}
+
+// handle handles one message other than a tick.
+func (t *transition) handle(body any) {
 	switch m := body.(type) {
 	case messenger.JobsView:
 		t.handleView(m)
@@ -125,12 +147,7 @@
 		t.handleMachineList(m)
 	case messenger.MachineReply:
 		t.handleMachineReply(m)
-	case messenger.Tick:
-	}
-	if t.leads {
-		t.runDueWork()
 	}
-	return t.end(), t.Messages
 }
 
 // transition is the mutable context of one step: the state so far and the messages to send.
