--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -166,6 +166,16 @@
 	}
 }
 
+// applyAll applies commands to an empty state, and restores the state from its snapshot after each.
+func applyAll(commands []Command) State {
+	s := NewState()
+	for _, c := range commands {
+		s, _ = s.Apply(startTime, c)
+		s = FromSnapshot(s.Snapshot())
+	}
+	return s
+}
+
 // TestPending guards against an attempt that is counted as a start: only jobs of which a worker has started a task are
 // not pending any more.
 func TestPending(t *testing.T) {
@@ -197,11 +207,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := NewState()
-			for _, c := range tt.commands {
-				s, _ = s.Apply(startTime, c)
-				s = FromSnapshot(s.Snapshot())
-			}
+			s := applyAll(tt.commands)
 			must.EqOp(t, tt.pending, s.Pending("q", startTime))
 			must.EqOp(t, 0, s.Pending("other", startTime))
 		})
@@ -232,11 +238,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := NewState()
-			for _, c := range tt.commands {
-				s, _ = s.Apply(startTime, c)
-				s = FromSnapshot(s.Snapshot())
-			}
+			s := applyAll(tt.commands)
 			j, _ := s.Job("j")
 			o, _ := j.Occurrence(0)
 			must.EqOp(t, tt.stopping, o.Steps[0][0].Stopping)
@@ -265,11 +267,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := NewState()
-			for _, c := range tt.commands {
-				s, _ = s.Apply(startTime, c)
-				s = FromSnapshot(s.Snapshot())
-			}
+			s := applyAll(tt.commands)
 			must.Eq(t, tt.last, s.LastOrder("m").MachineOrder)
 			must.EqOp(t, tt.last.Machine != "", s.LastOrder("m").At.Equal(startTime))
 			must.EqOp(t, tt.underWay, s.MaintenanceUnderWay("m"))
