--- a/server/server.go
+++ b/server/server.go
@@ -286,7 +286,7 @@
 			s.reporter.Time(group+"Sync", elapsed)
 		},
 		onDiskError: s.reporter.DiskError,
-		onFailure:  s.cfg.OnFailure,
+		onFailure:   s.cfg.OnFailure,
 	})
 	s.pipeline = runner.NewPipeline(runner.PipelineConfig{
 		Node:            node,
