recorder, controller: one loop for a disk that is full or fails

The controller repeated the loop of the recorder at its start, with a sleep in place of the timer. Retry now serves both; its interval and the errors that it repeats are private again.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -96,7 +96,7 @@
 // cannot be opened.
 func NewController(cfg Config) (*Controller, error) {
 	c := &Controller{cfg: cfg, started: make(chan struct{})}
-	err := c.openDiskWithRetry()
+	err := recorder.Retry(context.Background(), cfg.Reporter.DiskError, c.openDisk)
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
@@ -109,26 +109,6 @@
 	return c, nil
 }
 
-// openDiskWithRetry opens the disk, again and again while it is full or fails. A node that ended instead would be
-// restarted and end again as long as the disk does not work.
-func (c *Controller) openDiskWithRetry() error {
-	failing := false
-	for {
-		err := c.openDisk()
-		if !recorder.IsRetryable(err) {
-			if failing && err == nil {
-				c.cfg.Reporter.DiskError(nil)
-			}
-			return err
-		}
-		if !failing {
-			c.cfg.Reporter.DiskError(err)
-			failing = true
-		}
-		time.Sleep(recorder.DiskRetryInterval)
-	}
-}
-
 // openDisk reads the disk ID and opens the log. The empty disk of an initial voter gets the
 // initial disk ID of that voter and the log of the new group. Any other empty disk gets a new
 // disk ID, so that a node that lost its log does not vote as the voter it was before.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -15,11 +15,11 @@
 // ringSize is the capacity of the write queue of one recorder. Put blocks when it is full.
 const ringSize = 4096
 
-// DiskRetryInterval is the time between two attempts to write to a disk that is full or fails.
-const DiskRetryInterval = 200 * time.Millisecond
+// diskRetryInterval is the time between two attempts to write to a disk that is full or fails.
+const diskRetryInterval = 200 * time.Millisecond
 
-// IsRetryable reports whether the same write may succeed later: the disk is full, or it failed.
-func IsRetryable(err error) bool {
+// isRetryable reports whether the same write may succeed later: the disk is full, or it failed.
+func isRetryable(err error) bool {
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EIO)
 }
 
@@ -87,24 +87,25 @@
 	}
 }
 
-// retry calls write again and again while the disk is full or fails. In the meantime the
-// voter acknowledges nothing, and the other voters continue without it. If the voter
-// stopped instead, it would be restarted and stop again as long as the disk does not work.
-func (cfg Config[C, S, R]) retry(ctx context.Context, write func() error) error {
+// Retry calls write again and again while the disk is full or fails, until ctx ends. It reports the first such error to
+// onDiskError, and nil once the disk works again. In the meantime the voter acknowledges nothing, and the other voters
+// continue without it. If the voter stopped instead, it would be restarted and stop again as long as the disk does not
+// work.
+func Retry(ctx context.Context, onDiskError func(error), write func() error) error {
 	reported := false
 	for {
 		err := write()
-		if !IsRetryable(err) {
+		if !isRetryable(err) {
 			if reported && err == nil {
-				cfg.OnDiskError(nil)
+				onDiskError(nil)
 			}
 			return err
 		}
 		if !reported {
-			cfg.OnDiskError(err)
+			onDiskError(err)
 			reported = true
 		}
-		timer := time.NewTimer(DiskRetryInterval)
+		timer := time.NewTimer(diskRetryInterval)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -125,7 +126,7 @@
 			continue
 		}
 		writes++
-		err := cfg.retry(ctx, func() error { return cfg.Store.Append(*w.Write) })
+		err := Retry(ctx, cfg.OnDiskError, func() error { return cfg.Store.Append(*w.Write) })
 		if err != nil {
 			return err
 		}
@@ -135,7 +136,7 @@
 		}
 	}
 	if writes > 0 {
-		err := cfg.retry(ctx, cfg.Store.Sync)
+		err := Retry(ctx, cfg.OnDiskError, cfg.Store.Sync)
 		if err != nil {
 			return err
 		}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -95,7 +95,7 @@
 		store.log = log
 	}}
 	must.NoError(t, store.Append(testWrite{Term: 2, ReplaceFrom: 2, Entries: []testEntry{entry(2)}}))
-	must.NoError(t, cfg.retry(t.Context(), store.Sync))
+	must.NoError(t, Retry(t.Context(), cfg.OnDiskError, store.Sync))
 	must.Eq(t, []bool{true, false}, fullReports)
 	must.NoError(t, store.Close())
 	_, stored, err := openStore(t, folder, true)
