--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -86,18 +86,6 @@
 	}
 }
 
-// awaitAll waits until all jobs are complete and returns an error if one is not.
-func awaitAll(s *system, limit time.Duration, jobs ...*job) error {
-	deadline := time.Now().Add(limit)
-	for _, j := range jobs {
-		state := s.await(j, max(time.Until(deadline), 0))
-		if state != "complete" {
-			return fmt.Errorf("job %s is %q", j.id, state)
-		}
-	}
-	return nil
-}
-
 // noteLapses records the lapses of tasks that last, of which a step may miss one at a time.
 func noteLapses(s *system) {
 	s.w.mu.Lock()
@@ -121,36 +109,6 @@
 	}
 }
 
-// gangCase crashes a worker on which members of checkpointable gangs run.
-func gangCase(s *system, trouble bool) error {
-	q := route{name: "r-q", prefix: "/q/", service: "a"}
-	err := begin(s, 7, 4, q)
-	if err != nil {
-		return err
-	}
-	var jobs []*job
-	for range 10 {
-		jobs = append(jobs, &job{Spec: "gang", path: q.prefix, Steps: []step{{Count: 4, CPU: 2000, MemMB: 512, EstimateMs: 9000, Gang: true, Checkpointable: true, AntiAffinity: 1, work: 9 * time.Second}}})
-	}
-	err = submitAll(s, 130*time.Millisecond, jobs...)
-	if err != nil {
-		return err
-	}
-	time.Sleep(4 * time.Second)
-	if trouble {
-		s.workers[0].crash()
-	}
-	err = awaitAll(s, 60*time.Second, jobs...)
-	s.w.mu.Lock()
-	defer s.w.mu.Unlock()
-	for name, g := range s.w.gangs {
-		if len(g.saved) > 1 {
-			s.w.violate("UNASKED", "the members of %s were started with different values of last_checkpoint: %v", name, g.saved)
-		}
-	}
-	return err
-}
-
 // adviceCase removes the route of a queue with advice whose jobs are accepted and have not begun.
 func adviceCase(s *system, trouble bool) error {
 	plain, advised := route{name: "r-q", prefix: "/q/", service: "a"}, route{name: "r-adv", prefix: "/adv/", service: "a", advice: true}
@@ -297,3 +255,56 @@
 	noteLapses(s)
 	return nil
 }
+
+// publicCase replaces the route of a queue by a public one at the same place while a job of a tenant runs.
+func publicCase(s *system, trouble bool) error {
+	q, open := route{name: "r-q", prefix: "/q/", service: "a"}, route{name: "r-open", prefix: "/q/", service: "a", public: true}
+	if !s.putConfig(withTenant(configBody(1, []route{q}, "a"))) {
+		return errNoConfig
+	}
+	err := s.addWorkers(6, 4)
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	var jobs []*job
+	for range 3 {
+		jobs = append(jobs, &job{Spec: "long", path: q.prefix, Steps: []step{{Count: 2, CPU: 1000, MemMB: 512, EstimateMs: 20000, work: 20 * time.Second}}})
+	}
+	err = submitAll(s, 0, jobs...)
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		if !s.putConfig(withTenant(configBody(2, []route{open}, "a"))) {
+			return errNoConfig
+		}
+	}
+	time.Sleep(5 * time.Second) // visible_ms is 3,000 and config_apply_ms 2,500
+	for _, j := range jobs {
+		state := s.state(j)
+		s.w.Note("client: GET %s%s -> %s", j.path, j.id, state)
+		if state == "410" {
+			s.w.mu.Lock()
+			s.w.violate("LOST", "job %s was accepted %.1f s ago, nobody has canceled it, and its state is answered with 410", j.id, time.Since(j.accepted).Seconds())
+			s.w.mu.Unlock()
+		}
+	}
+	canceled := jobs[0]
+	status, _ := s.front(http.MethodDelete, canceled.path+canceled.id, nil)
+	s.w.Note("client: DELETE %s%s -> %d", canceled.path, canceled.id, status)
+	if status != http.StatusOK && status != http.StatusGone {
+		return fmt.Errorf("the cancellation was answered with %d", status)
+	}
+	time.Sleep(5 * time.Second) // cancel_ms is 4,000 and stop_ms 400
+	s.w.mu.Lock()
+	for index := range canceled.Steps[0].Count {
+		name := fmt.Sprintf("%s.0.0.%d", canceled.id, index)
+		if running := s.w.task(name).running; len(running) > 0 {
+			s.w.violate("UNASKED", "%s runs on %v 5 s after the cancellation of its job was answered with %d", name, running, status)
+		}
+	}
+	s.w.mu.Unlock()
+	return nil
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,11 +25,11 @@
 
 // cases are the scripts. Each returns whether it could run; trouble tells whether the disruption happens.
 var cases = map[string]func(s *system, trouble bool) error{
-	"gang":     gangCase,
 	"advice":   adviceCase,
 	"odd":      oddCase,
 	"rack":     rackCase,
 	"schedule": scheduleCase,
+	"public":   publicCase,
 }
 
 func main() { os.Exit(execute()) }
@@ -51,7 +51,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
-	s, err := newSystem(w, *bin)
+	s, err := newSystem(w, *bin, *name == "public")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		if s != nil {
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -37,9 +37,9 @@
 discovery: "registry"
 entry: "vip"
 heartbeat_ms: 1500
-contracts: ["base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep", "sharing"]
+contracts: ["base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep", "sharing"%[10]s]
 tolerate: {machines: 1, zones: 1, regions: 0}
-bounds: {seed_lag_s: 3, addr_reuse_s: 2, contact_ms: 3000, ack_ms: 4000, catchup_s: 4, drain_ms: 2000, grace_s: 6, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_skew_ms: 5000, recovery_s: 12, hold_max_ms: 6000, stop_ms: 400, gang_ms: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, far_x: 1.5, checkpoint_s: 1, restore_ms: 600, notice_ms: 4500, move_s: 1.5, maintenance_s: 2, fencing: false, lease_ms: 3000, thaw_ms: 300, pace_ms: 100, harm_ms: 4000}
+bounds: {seed_lag_s: 3, addr_reuse_s: 2, contact_ms: 3000, ack_ms: 4000, catchup_s: 4, drain_ms: 2000, grace_s: 6, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_skew_ms: 5000, recovery_s: 12, hold_max_ms: 6000, stop_ms: 400, gang_ms: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, far_x: 1.5, checkpoint_s: 1, restore_ms: 600, notice_ms: 4500, move_s: 1.5, maintenance_s: 2, fencing: false, lease_ms: 3000, thaw_ms: 300, pace_ms: 100, harm_ms: 4000%[9]s}
 config_mode: "highest"
 orders: "rpc"
 advice: "%[8]s"
@@ -49,6 +49,7 @@
 const (
 	controllers = 3
 	entries     = 2
+	tenantKey   = "k-5d1e07"
 )
 
 // process is one process of the system.
@@ -74,13 +75,15 @@
 	mu        sync.Mutex
 	next      int
 	adviceMs  int // validity of tickets
+
+	hasTenants bool // the configuration has a tenant, whose key the clients send
 }
 
 func (s *system) ip(octet, n int) string { return fmt.Sprintf("127.%d.%d.%d", s.network, octet, n+1) }
 
 // newSystem starts three controllers, two entry instances and the platform.
-func newSystem(w *world, bin string) (*system, error) {
-	s := &system{w: w, bin: bin, adviceMs: 3000, client: &http.Client{
+func newSystem(w *world, bin string, hasTenants bool) (*system, error) {
+	s := &system{w: w, bin: bin, hasTenants: hasTenants, adviceMs: 3000, client: &http.Client{
 		Transport:     &http.Transport{MaxIdleConnsPerHost: 32},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -151,7 +154,11 @@
 		}
 		data = fmt.Sprintf("%q", folder)
 	}
-	text := fmt.Sprintf(settingsFormat, p.name, p.role, class, p.ip, strings.Join(seeds, ", "), bootstrap, data, s.ip(4, 0)+":8621")
+	bounds, contracts := "", ""
+	if s.hasTenants {
+		bounds, contracts = ", strict_revoke: true, revoke_ms: 5000, quota_window_s: 5, quota_burst: 0.1, quota_slack: 20", `, "tenants", "quota"`
+	}
+	text := fmt.Sprintf(settingsFormat, p.name, p.role, class, p.ip, strings.Join(seeds, ", "), bootstrap, data, s.ip(4, 0)+":8621", bounds, contracts)
 	err := os.WriteFile(p.settings, []byte(text), 0o600)
 	if err != nil {
 		return fmt.Errorf("write settings: %w", err)
@@ -236,12 +243,8 @@
 	case "/machines":
 		machines := []any{}
 		for _, w := range s.workers {
-			state := "up"
-			if !w.up {
-				state = "down"
-			}
 			machines = append(machines, map[string]any{
-				"machine": "m-" + w.id, "pool": w.pool, "state": state, "zone": "z1", "labels": []string{"a", w.rack},
+				"machine": "m-" + w.id, "pool": w.pool, "state": "up", "zone": "z1", "labels": []string{"a", w.rack},
 				"capacity": map[string]int{"cpu": w.cpu, "mem_mb": w.memMB, "gpu": 0}, "id": w.id,
 			})
 		}
@@ -328,13 +331,13 @@
 // route is a route of a configuration.
 type route struct {
 	name, prefix, service string
-	advice                bool
+	advice, public        bool
 }
 
 func configBody(version int, routes []route, services ...string) map[string]any {
 	var rs, ss []any
 	for _, r := range routes {
-		body := map[string]any{"name": r.name, "host": "h.example", "path_prefix": r.prefix, "kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": 600, "priority": 0, "service": r.service, "attempts": attempts, "stretch": 1.6}
+		body := map[string]any{"name": r.name, "host": "h.example", "path_prefix": r.prefix, "kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": 600, "priority": 0, "service": r.service, "attempts": attempts, "stretch": 1.6, "public": r.public}
 		if r.advice {
 			body["advice"] = map[string]any{"decide_ms": 5, "each_ms": 1, "valid_ms": 3000}
 		}
@@ -346,6 +349,12 @@
 	return map[string]any{"version": version, "routes": rs, "services": ss, "limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 }
 
+// withTenant adds a tenant without limits to a configuration.
+func withTenant(config map[string]any) map[string]any {
+	config["tenants"] = []any{map[string]any{"name": "t", "api_keys": []string{tenantKey}, "weight": 1, "max_count": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}}
+	return config
+}
+
 // putConfig sends a configuration until it is acknowledged.
 func (s *system) putConfig(config map[string]any) bool {
 	for range 60 {
@@ -365,7 +374,11 @@
 	n := s.next
 	s.next++
 	s.mu.Unlock()
-	status, data, _ := s.call(method, "http://"+s.ip(2, n%entries)+":8624"+path, map[string]string{"Host": "h.example", "Content-Type": "application/json", "X-Deadline-Ms": "3000"}, body, 3*time.Second)
+	header := map[string]string{"Host": "h.example", "Content-Type": "application/json", "X-Deadline-Ms": "3000"}
+	if s.hasTenants {
+		header["X-Key"] = tenantKey
+	}
+	status, data, _ := s.call(method, "http://"+s.ip(2, n%entries)+":8624"+path, header, body, 3*time.Second)
 	return status, data
 }
 
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -9,35 +9,25 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 )
 
 // Bounds of the deployment, as in the sheet of kes-imaging, and those of the stand-ins.
 const (
-	leaseMax       = 6 * time.Second
-	stopTime       = 100 * time.Millisecond // at most stop_ms
-	gangTime       = 3 * time.Second
-	cancelTime     = 3 * time.Second
-	checkpointTime = time.Second
-	restoreTime    = 600 * time.Millisecond
-	startupTime    = 300 * time.Millisecond // of a task that lasts
-	beatInterval   = 1500 * time.Millisecond
-	attempts       = 3
-	maxListed      = 500
+	leaseMax     = 6 * time.Second
+	stopTime     = 100 * time.Millisecond // at most stop_ms
+	startupTime  = 300 * time.Millisecond // of a task that lasts
+	beatInterval = 1500 * time.Millisecond
+	attempts     = 3
+	maxListed    = 500
 )
 
 // run is a run on a worker.
 type run struct {
-	task     string
-	number   int
-	worker   *worker
-	at       time.Time // start
-	base     time.Duration
-	saved    string
-	stopAt   time.Time // zero: it is not being stopped
-	gang     *gang
-	gangName string
+	task   string
+	number int
+	at     time.Time // start
+	stopAt time.Time // zero: it is not being stopped
 }
 
 // worker is a stand-in of a worker that follows PROTOCOL.md.
@@ -54,7 +44,6 @@
 	closed   chan struct{}
 
 	// guarded by w.mu
-	up       bool
 	born     time.Time
 	seq      int
 	fence    uint64
@@ -86,27 +75,10 @@
 
 // boot makes the worker a new process that knows nothing of before. The caller holds w.w.mu, or the worker is new.
 func (w *worker) boot() {
-	w.up, w.born, w.seq, w.fence, w.leaseEnd = true, time.Now(), 0, 0, time.Time{}
+	w.born = time.Now()
 	w.runs, w.highest, w.ended, w.endCount = make(map[string]*run), make(map[string]int), nil, 0
 }
 
-// crash ends the process of the worker. What ran on it is gone, and the members of its gangs elsewhere end.
-func (w *worker) crash() {
-	w.w.mu.Lock()
-	w.up = false
-	w.w.note("%s crashes with %d runs", w.id, len(w.runs))
-	for task, r := range w.runs {
-		delete(w.w.task(task).running, w.id)
-		if r.gang != nil {
-			delete(r.gang.members, task)
-			w.w.breakGang(r.gang)
-		}
-	}
-	w.runs = make(map[string]*run)
-	w.w.mu.Unlock()
-	_ = w.server.Close()
-}
-
 func (w *worker) stop() {
 	close(w.closed)
 	_ = w.server.Close()
@@ -130,62 +102,20 @@
 	}
 }
 
-// progress returns how long a run has worked, together with what earlier runs saved.
-func (r *run) progress(now time.Time) time.Duration {
-	since := r.at
-	if r.gang != nil {
-		since = r.gang.startedAt
-		if since.IsZero() {
-			return r.base
-		}
-	}
-	worked := now.Sub(since)
-	if r.base > 0 {
-		worked -= restoreTime
-	}
-	return r.base + max(worked, 0)
-}
-
-func checkpointValue(task string, progress time.Duration) string {
-	return fmt.Sprintf("%08x%s", progress.Milliseconds(), task[8:16])
-}
-
-func checkpointProgress(value string) time.Duration {
-	if len(value) < 8 {
-		return 0
-	}
-	ms, _ := strconv.ParseInt(value[:8], 16, 64)
-	return time.Duration(ms) * time.Millisecond
-}
-
 // advance ends the runs that are due. The caller holds w.w.mu.
 func (w *worker) advance(now time.Time) {
-	if !w.up {
-		return
-	}
 	for _, r := range w.runs {
 		_, s := w.w.stepOf(r.task)
 		if s == nil {
 			continue
 		}
-		progress := r.progress(now)
-		if s.Checkpointable {
-			if n := progress / checkpointTime * checkpointTime; n > checkpointProgress(r.saved) {
-				r.saved = checkpointValue(r.task, n)
-			}
-		}
 		switch {
 		case w.leaseEnd.Before(now):
 			w.end(r, "lapsed")
 		case !r.stopAt.IsZero() && now.After(r.stopAt):
-			if s.Checkpointable && progress > 0 {
-				r.saved = checkpointValue(r.task, progress)
-			}
 			w.end(r, "stopped")
-		case r.gang != nil && r.gang.startedAt.IsZero() && now.Sub(r.at) > gangTime:
-			w.end(r, "alone")
-		case s.LongRunning || (r.gang != nil && r.gang.startedAt.IsZero()):
-		case progress >= s.work:
+		case s.LongRunning:
+		case now.Sub(r.at) >= s.work:
 			w.end(r, "done")
 		}
 	}
@@ -202,33 +132,8 @@
 	delete(t.running, w.id)
 	e := &ending{at: time.Now(), run: r.number, how: how}
 	t.ends = append(t.ends, e)
-	w.ended = append(w.ended, endRow{row: []any{w.endCount, r.task, r.number, how, r.saved}, end: e})
-	w.w.note("%s: %s run %d ends %s, saved %q", w.id, r.task, r.number, how, r.saved)
-	if r.gang == nil {
-		return
-	}
-	delete(r.gang.members, r.task)
-	if how == "done" {
-		for _, other := range r.gang.members {
-			other.worker.end(other, "done")
-		}
-		return
-	}
-	if !r.gang.startedAt.IsZero() {
-		w.w.breakGang(r.gang)
-	}
-}
-
-// breakGang ends the members of a gang of which one has ended. The caller holds w.mu.
-func (w *world) breakGang(g *gang) {
-	if g.startedAt.IsZero() {
-		return
-	}
-	members := g.members
-	g.members = make(map[string]*run)
-	for _, r := range members {
-		r.worker.end(r, "broken")
-	}
+	w.ended = append(w.ended, endRow{row: []any{w.endCount, r.task, r.number, how, ""}, end: e})
+	w.w.note("%s: %s run %d ends %s", w.id, r.task, r.number, how)
 }
 
 // beat sends the heartbeats of the worker.
@@ -249,9 +154,6 @@
 func (w *worker) heartbeat() map[string]any {
 	w.w.mu.Lock()
 	defer w.w.mu.Unlock()
-	if !w.up {
-		return nil
-	}
 	w.seq++
 	return map[string]any{
 		"service": w.pool, "address": w.listener.Addr().String(), "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
@@ -268,15 +170,14 @@
 
 // order is the body of a call to a worker.
 type order struct {
-	Task           string `json:"task"`
-	Run            int    `json:"run"`
-	Spec           string `json:"spec"`
-	DeadlineMs     int64  `json:"deadline_ms"`
-	Fence          uint64 `json:"fence"`
-	LastCheckpoint string `json:"last_checkpoint"`
-	Ticket         string `json:"ticket"`
-	AckedUpto      int    `json:"acked_upto"`
-	WaitMs         int    `json:"wait_ms"`
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	DeadlineMs int64  `json:"deadline_ms"`
+	Fence      uint64 `json:"fence"`
+	Ticket     string `json:"ticket"`
+	AckedUpto  int    `json:"acked_upto"`
+	WaitMs     int    `json:"wait_ms"`
 }
 
 func (w *worker) serve(rw http.ResponseWriter, r *http.Request) {
@@ -296,9 +197,6 @@
 
 // handle carries out a call. The caller holds w.w.mu.
 func (w *worker) handle(rw http.ResponseWriter, r *http.Request, o order) {
-	if !w.up {
-		panic(http.ErrAbortHandler)
-	}
 	if id := r.Header.Get("X-Expect-Instance"); id != "" && id != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -394,32 +292,11 @@
 	w.extend(now, o.DeadlineMs)
 	w.highest[o.Task] = o.Run
 	w.w.checkStart(w.id, o.Task, o.Run, o.Spec)
-	w.w.note("%s: %s run %d starts, last_checkpoint %q", w.id, o.Task, o.Run, o.LastCheckpoint)
-	r := &run{task: o.Task, number: o.Run, worker: w, at: now, saved: o.LastCheckpoint, base: checkpointProgress(o.LastCheckpoint)}
-	w.runs[o.Task] = r
-	if s != nil && s.Gang {
-		w.w.join(r, s, now)
-	}
+	w.w.note("%s: %s run %d starts", w.id, o.Task, o.Run)
+	w.runs[o.Task] = &run{task: o.Task, number: o.Run, at: now}
 	w.answer(rw, http.StatusOK, "")
 }
 
-// join adds a run to the run of its gang, which starts to work once all its members are present.
-func (w *world) join(r *run, s *step, now time.Time) {
-	r.gangName = fmt.Sprintf("%s run %d", stepName(r.task), r.number)
-	g, ok := w.gangs[r.gangName]
-	if !ok {
-		g = &gang{members: make(map[string]*run), saved: make(map[string]bool)}
-		w.gangs[r.gangName] = g
-	}
-	r.gang = g
-	g.members[r.task] = r
-	g.saved[r.saved] = true
-	if len(g.members) == s.Count && g.startedAt.IsZero() {
-		g.startedAt = now
-		w.note("%s: all members are present", r.gangName)
-	}
-}
-
 // list answers a hold: it forgets the ends up to AckedUpto and waits until there is another.
 func (w *worker) list(rw http.ResponseWriter, o order) {
 	for len(w.ended) > 0 && w.ended[0].row[0].(int) <= o.AckedUpto {
@@ -428,7 +305,7 @@
 		w.ended = w.ended[1:]
 	}
 	deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
-	for len(w.ended) == 0 && time.Now().Before(deadline) && w.up {
+	for len(w.ended) == 0 && time.Now().Before(deadline) {
 		w.w.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
 		w.w.mu.Lock()
@@ -444,9 +321,9 @@
 				percent = 100
 			}
 		case s.work > 0:
-			percent = min(int(100*r.progress(time.Now())/s.work), 99)
+			percent = min(int(100*time.Since(r.at)/s.work), 99)
 		}
-		running = append(running, []any{r.task, r.number, r.saved, percent, 10})
+		running = append(running, []any{r.task, r.number, "", percent, 10})
 	}
 	for _, e := range w.ended[:min(len(w.ended), maxListed)] {
 		ended = append(ended, e.row)
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -12,19 +12,15 @@
 
 // step is a step of a job: what the client sends, and how its tasks behave on a worker.
 type step struct {
-	Count          int    `json:"count"`
-	CPU            int    `json:"cpu,omitempty"`
-	MemMB          int    `json:"mem_mb,omitempty"`
-	EstimateMs     int    `json:"estimate_ms,omitempty"`
-	AfterRev       []int  `json:"after_rev,omitempty"`
-	Checkpointable bool   `json:"checkpointable,omitempty"`
-	Gang           bool   `json:"gang,omitempty"`
-	SameRack       bool   `json:"same_rack,omitempty"`
-	Requires       string `json:"requires,omitempty"`
-	DataRack       string `json:"data_rack,omitempty"`
-	AntiAffinity   int    `json:"anti_affinity,omitempty"`
-	LongRunning    bool   `json:"long_running,omitempty"`
-	MayMiss        int    `json:"may_miss,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu,omitempty"`
+	MemMB        int    `json:"mem_mb,omitempty"`
+	EstimateMs   int    `json:"estimate_ms,omitempty"`
+	AfterRev     []int  `json:"after_rev,omitempty"`
+	DataRack     string `json:"data_rack,omitempty"`
+	AntiAffinity int    `json:"anti_affinity,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	MayMiss      int    `json:"may_miss,omitempty"`
 
 	work time.Duration // that one task needs
 }
@@ -64,7 +60,6 @@
 	record     *os.File
 	jobs       map[string]*job
 	tasks      map[string]*taskState
-	gangs      map[string]*gang
 	violations []string
 	needTicket map[string]bool // queue prefixes whose starts need a ticket
 	tickets    map[string]ticket
@@ -81,7 +76,7 @@
 		return nil, fmt.Errorf("create record: %w", err)
 	}
 	return &world{
-		started: time.Now(), record: f, jobs: make(map[string]*job), tasks: make(map[string]*taskState), gangs: make(map[string]*gang),
+		started: time.Now(), record: f, jobs: make(map[string]*job), tasks: make(map[string]*taskState),
 		needTicket: make(map[string]bool), tickets: make(map[string]ticket),
 	}, nil
 }
@@ -162,10 +157,3 @@
 	t.running[worker] = run
 	t.starts = append(t.starts, ending{at: time.Now(), run: run})
 }
-
-// gang is one run of a gang.
-type gang struct {
-	members   map[string]*run // by task
-	startedAt time.Time       // when all were present
-	saved     map[string]bool // the values of last_checkpoint with which its members were started
-}
