--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -259,7 +259,7 @@
 // publicCase replaces the route of a queue by a public one at the same place while a job of a tenant runs.
 func publicCase(s *system, trouble bool) error {
 	q, open := route{name: "r-q", prefix: "/q/", service: "a"}, route{name: "r-open", prefix: "/q/", service: "a", public: true}
-	if !s.putConfig(withTenant(configBody(1, []route{q}, "a"))) {
+	if !s.putConfig(withTenant(configBody(1, []route{q}, "a"), 0)) {
 		return errNoConfig
 	}
 	err := s.addWorkers(6, 4)
@@ -277,7 +277,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
-		if !s.putConfig(withTenant(configBody(2, []route{open}, "a"))) {
+		if !s.putConfig(withTenant(configBody(2, []route{open}, "a"), 0)) {
 			return errNoConfig
 		}
 	}
@@ -308,3 +308,85 @@
 	s.w.mu.Unlock()
 	return nil
 }
+
+// quotaCase lowers the limit of a tenant below what one of its tasks needs, whose turn has not come yet.
+func quotaCase(s *system, trouble bool) error {
+	q := route{name: "r-q", prefix: "/q/", service: "a"}
+	if !s.putConfig(withTenant(configBody(1, []route{q}, "a"), 8000)) {
+		return errNoConfig
+	}
+	err := s.addWorkers(6, 4)
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	j := &job{Spec: "two steps", path: q.prefix, Steps: []step{
+		{Count: 2, CPU: 1000, MemMB: 512, EstimateMs: 3000, work: 3 * time.Second},
+		{Count: 1, CPU: 4000, MemMB: 512, EstimateMs: 500, AfterRev: []int{0}, work: 500 * time.Millisecond},
+	}}
+	err = submitAll(s, time.Second, j)
+	if err != nil {
+		return err
+	}
+	if trouble {
+		if !s.putConfig(withTenant(configBody(2, []route{q}, "a"), 3000)) {
+			return errNoConfig
+		}
+	}
+	time.Sleep(20 * time.Second) // finish_s is 14 s
+	checkSecondSteps(s, []*job{j})
+	s.submit(&job{Spec: j.Spec, path: j.path, Steps: j.Steps}) // for the record: the same job, handed in now
+	return nil
+}
+
+// hotRackCase submits jobs whose data is in a rack that is full, while the other racks are idle. Without trouble, their data
+// is in another rack.
+func hotRackCase(s *system, trouble bool) error {
+	fill, q := route{name: "r-fill", prefix: "/fill/", service: "a"}, route{name: "r-q", prefix: "/q/", service: "a"}
+	err := begin(s, 12, 4, fill, q)
+	if err != nil {
+		return err
+	}
+	var fillers, jobs []*job
+	for range 8 {
+		fillers = append(fillers, &job{Spec: "fill", path: fill.prefix, Steps: []step{{Count: 8, CPU: 1000, MemMB: 512, EstimateMs: 20000, DataRack: "r1-0", work: 20 * time.Second}}})
+	}
+	rack := "r1-1"
+	if trouble {
+		rack = "r1-0"
+	}
+	for range 4 {
+		jobs = append(jobs, &job{Spec: "wait", path: q.prefix, Steps: []step{{Count: 8, CPU: 1000, MemMB: 512, EstimateMs: 14000, DataRack: rack, work: 14 * time.Second}}})
+	}
+	err = submitAll(s, 0, fillers...)
+	if err == nil {
+		time.Sleep(time.Second)
+		err = submitAll(s, 0, jobs...)
+	}
+	if err != nil {
+		return err
+	}
+	time.Sleep(14 * time.Second) // finish_s
+	idleSince := time.Now()
+	for time.Since(idleSince) < 3*time.Second {
+		time.Sleep(50 * time.Millisecond)
+		s.w.mu.Lock()
+		used, isBusy := 0, false
+		for _, w := range s.workers {
+			cpu, _ := w.used()
+			used += cpu
+		}
+		for name, t := range s.w.tasks {
+			j, _ := s.w.stepOf(name)
+			isBusy = isBusy || (j == jobs[0] && (len(t.running) > 0 || len(t.ends) > 0))
+		}
+		s.w.mu.Unlock()
+		if isBusy || 2*used >= 12*16000 {
+			return nil
+		}
+	}
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
+	s.w.violate("LOST", "job %s, accepted %.1f s ago, has had nothing running for 3 s, and two racks of three are idle", jobs[0].id, time.Since(jobs[0].accepted).Seconds())
+	return nil
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -30,6 +30,8 @@
 	"rack":     rackCase,
 	"schedule": scheduleCase,
 	"public":   publicCase,
+	"quota":    quotaCase,
+	"hotrack":  hotRackCase,
 }
 
 func main() { os.Exit(execute()) }
@@ -51,7 +53,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
-	s, err := newSystem(w, *bin, *name == "public")
+	farX := 1.5
+	if *name == "hotrack" {
+		farX = 3
+	}
+	s, err := newSystem(w, *bin, *name == "public" || *name == "quota", farX)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		if s != nil {
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -39,7 +39,7 @@
 heartbeat_ms: 1500
 contracts: ["base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep", "sharing"%[10]s]
 tolerate: {machines: 1, zones: 1, regions: 0}
-bounds: {seed_lag_s: 3, addr_reuse_s: 2, contact_ms: 3000, ack_ms: 4000, catchup_s: 4, drain_ms: 2000, grace_s: 6, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_skew_ms: 5000, recovery_s: 12, hold_max_ms: 6000, stop_ms: 400, gang_ms: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, far_x: 1.5, checkpoint_s: 1, restore_ms: 600, notice_ms: 4500, move_s: 1.5, maintenance_s: 2, fencing: false, lease_ms: 3000, thaw_ms: 300, pace_ms: 100, harm_ms: 4000%[9]s}
+bounds: {seed_lag_s: 3, addr_reuse_s: 2, contact_ms: 3000, ack_ms: 4000, catchup_s: 4, drain_ms: 2000, grace_s: 6, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_skew_ms: 5000, recovery_s: 12, hold_max_ms: 6000, stop_ms: 400, gang_ms: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, far_x: %[11]g, checkpoint_s: 1, restore_ms: 600, notice_ms: 4500, move_s: 1.5, maintenance_s: 2, fencing: false, lease_ms: 3000, thaw_ms: 300, pace_ms: 100, harm_ms: 4000%[9]s}
 config_mode: "highest"
 orders: "rpc"
 advice: "%[8]s"
@@ -76,14 +76,15 @@
 	next      int
 	adviceMs  int // validity of tickets
 
-	hasTenants bool // the configuration has a tenant, whose key the clients send
+	hasTenants bool    // the configuration has a tenant, whose key the clients send
+	farX       float64 // far_x of the settings
 }
 
 func (s *system) ip(octet, n int) string { return fmt.Sprintf("127.%d.%d.%d", s.network, octet, n+1) }
 
 // newSystem starts three controllers, two entry instances and the platform.
-func newSystem(w *world, bin string, hasTenants bool) (*system, error) {
-	s := &system{w: w, bin: bin, hasTenants: hasTenants, adviceMs: 3000, client: &http.Client{
+func newSystem(w *world, bin string, hasTenants bool, farX float64) (*system, error) {
+	s := &system{w: w, bin: bin, hasTenants: hasTenants, farX: farX, adviceMs: 3000, client: &http.Client{
 		Transport:     &http.Transport{MaxIdleConnsPerHost: 32},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -158,7 +159,7 @@
 	if s.hasTenants {
 		bounds, contracts = ", strict_revoke: true, revoke_ms: 5000, quota_window_s: 5, quota_burst: 0.1, quota_slack: 20", `, "tenants", "quota"`
 	}
-	text := fmt.Sprintf(settingsFormat, p.name, p.role, class, p.ip, strings.Join(seeds, ", "), bootstrap, data, s.ip(4, 0)+":8621", bounds, contracts)
+	text := fmt.Sprintf(settingsFormat, p.name, p.role, class, p.ip, strings.Join(seeds, ", "), bootstrap, data, s.ip(4, 0)+":8621", bounds, contracts, s.farX)
 	err := os.WriteFile(p.settings, []byte(text), 0o600)
 	if err != nil {
 		return fmt.Errorf("write settings: %w", err)
@@ -349,9 +350,9 @@
 	return map[string]any{"version": version, "routes": rs, "services": ss, "limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 }
 
-// withTenant adds a tenant without limits to a configuration.
-func withTenant(config map[string]any) map[string]any {
-	config["tenants"] = []any{map[string]any{"name": "t", "api_keys": []string{tenantKey}, "weight": 1, "max_count": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}}
+// withTenant adds a tenant to a configuration. With maxCPU zero, it has no limit.
+func withTenant(config map[string]any, maxCPU int) map[string]any {
+	config["tenants"] = []any{map[string]any{"name": "t", "api_keys": []string{tenantKey}, "weight": 1, "max_count": map[string]int{"cpu": maxCPU, "mem_mb": 0, "gpu": 0}}}
 	return config
 }
 
