scheduler, sharer: start accepted tasks that a lowered limit excludes

Cause: a task started only if it fitted what was left of its team's limit. A task larger than the limit, or than what the long-running tasks of the team leave of it, never does. Only a submission was checked for that.

Evidence: the leader logs startsHeld for the job each second with nothing in use, so the step is ready and only the limit holds it.

Fix: a task that never fits may start while its team uses less than half of the limit, so the use stays within the limit and one task more. This holds for each kind of resource, for long-running tasks and for a gang larger by one task. What may still run counts as used, so two such tasks never run at once.

--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -168,7 +168,7 @@
 	t.explainObstacles(p, c, runs, &e)
 	switch {
 	case e.Held > 0 && e.Starting+e.Held == step.Count:
-		e.Reason = fmt.Sprintf("the limit of team %.40q holds tasks back", c.job.Team)
+		e.Reason = fmt.Sprintf("the limit of team %.40q holds tasks back%s", c.job.Team, p.oversizeNote(c))
 	case len(e.Counts) == 0:
 		e.Reason = "the pool has no worker"
 	case step.Gang && e.RackWait == nil:
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -88,6 +88,7 @@
 		p.workersByPool = t.availableWorkers()
 		p.maxFree = maxFreeByPool(p.workersByPool)
 	}
+	t.advanceOversized(p, candidates)
 	slices.SortStableFunc(candidates, compareCandidates)
 	candidates = t.rankByShare(p, candidates)
 	p.candidates = candidates
--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -25,6 +25,7 @@
 	held         map[string]int       // starts that the limit held back in the last pass, by team
 	arrivals     map[string]demand    // arriving work that counted as demand for machines, by team
 	heldLoggedAt map[string]time.Time // by team
+	oversizedAt  map[string]time.Time // last start of oversized tasks, by team
 }
 
 // teamPass is the part of a placement pass that concerns teams. It is nil in a deployment without teams.
@@ -57,13 +58,10 @@
 			p.teams.lasting[team.Name] = sharer.NewQuota(team.Limit, registrar.Resources{})
 		}
 	}
-	for _, w := range t.workers.Pointers() {
-		for _, r := range w.runs.All() {
-			quota, limited := p.teams.lasting[r.team]
-			if limited && r.longRunning {
-				p.teams.lasting[r.team] = quota.WithStarts(1, r.demand())
-			}
-		}
+	longRunning := t.longRunningByTeam()
+	for name, quota := range p.teams.quotas {
+		p.teams.quotas[name] = quota.WithLongRunning(longRunning[name])
+		p.teams.lasting[name] = p.teams.lasting[name].WithStarts(1, longRunning[name]).WithLongRunning(longRunning[name])
 	}
 	cores := make(map[string]float64, len(p.teams.used))
 	for team, used := range p.teams.used {
@@ -91,13 +89,25 @@
 	return used
 }
 
+// longRunningByTeam returns what the long-running tasks of each team use.
+func (t *transition) longRunningByTeam() map[string]registrar.Resources {
+	used := make(map[string]registrar.Resources)
+	for _, w := range t.workers.Pointers() {
+		for _, r := range w.runs.All() {
+			if r.longRunning {
+				used[r.team] = used[r.team].Add(r.demand())
+			}
+		}
+	}
+	return used
+}
+
 // demand returns what a run counts against the limit of its team.
 func (r run) demand() registrar.Resources {
 	return registrar.Resources{CPU: r.cpuDemand, Memory: r.resources.Memory, GPU: r.resources.GPU}
 }
 
-// exceedsLimit returns an error if a task of the job alone exceeds the limit of the job's team, so that it could never
-// start.
+// exceedsLimit returns an error if a task of the job alone exceeds the limit of the job's team.
 func (t *transition) exceedsLimit(j registrar.Job) error {
 	team, ok := t.committed.Config().Team(j.Team)
 	if !ok {
@@ -105,7 +115,7 @@
 	}
 	quota := sharer.NewQuota(team.Limit, registrar.Resources{})
 	for i, s := range j.Steps {
-		if quota.Startable(s.Demand()) == 0 {
+		if quota.NeverFits(1, s.Demand()) {
 			return fmt.Errorf("a task of step %d needs %+v, and the limit of team %.40q is %+v: %w", i, s.Demand(), team.Name, team.Limit, registrar.ErrInvalid)
 		}
 	}
@@ -164,10 +174,52 @@
 func startableTasks(q sharer.Quota, c *candidate) int {
 	step := c.job.Steps[c.step]
 	n := min(q.Startable(step.Demand()), len(c.waiting))
-	if step.Gang && n < step.Count {
-		return 0
+	together := c.leastStart()
+	if n >= together {
+		return n
+	}
+	if len(c.waiting) >= together && q.Admits(together, step.Demand()) {
+		return together
+	}
+	return 0
+}
+
+// leastStart returns the smallest number of tasks of a step that can start: of a gang, all.
+func (c *candidate) leastStart() int {
+	step := c.job.Steps[c.step]
+	if step.Gang {
+		return step.Count
+	}
+	return 1
+}
+
+// isOversized reports whether the tasks of a step exceed a limit that they never fit, since it was lowered after their
+// job was accepted or the long-running tasks of the team use too much of it.
+func (c *candidate) isOversized(q sharer.Quota) bool {
+	return q.NeverFits(c.leastStart(), c.job.Steps[c.step].Demand())
+}
+
+// maxOversizedWait is the time for which oversized tasks that are overdue wait for the other short tasks of their team,
+// which would otherwise take each part of the limit as it becomes free. It is also the minimum time between two such
+// starts, so that many oversized tasks do not stop the other work of their team.
+const maxOversizedWait = lateWait
+
+// advanceOversized puts the oversized tasks first that have waited for maxOversizedWait.
+func (t *transition) advanceOversized(p *placement, candidates []*candidate) {
+	if p.teams == nil {
+		return
+	}
+	for _, c := range candidates {
+		quota, limited := p.teams.quotas[c.job.Team]
+		if !limited || c.longRunning || !c.isOversized(quota) {
+			continue
+		}
+		since := c.dueAt
+		if last := t.shares.oversizedAt[c.job.Team]; last.After(since) {
+			since = last
+		}
+		c.advanced = t.now.Sub(since) > maxOversizedWait
 	}
-	return n
 }
 
 // placeWithinLimit places the waiting tasks of a step that the limit of its team lets start.
@@ -182,7 +234,7 @@
 		held := len(c.waiting) - startable
 		t.recordHeld(p, c, held)
 		c.waiting = c.waiting[:startable]
-		quota = p.reserveLimit(quota, c, held)
+		quota = p.reserveLimit(quota, c, startable, held)
 		p.teams.quotas[c.job.Team] = quota
 	}
 	if len(c.waiting) == 0 {
@@ -198,6 +250,9 @@
 	p.recordPending(p.starts[before:]) // other parts of the step may follow: see splitLarge
 	if limited {
 		p.teams.quotas[c.job.Team] = quota.WithStarts(started, c.job.Steps[c.step].Demand())
+		if started > 0 && c.isOversized(quota) {
+			t.shares.oversizedAt = withEntry(t.shares.oversizedAt, c.job.Team, t.now)
+		}
 	}
 	if started+waiting < len(c.waiting) {
 		p.teams.withoutPlace[c.stepID()] = len(c.avoidedRacks) == 0
@@ -206,21 +261,27 @@
 	t.recordLateStarts(p, c, started)
 }
 
-// reserveLimit returns the quota of a team with room set aside for the held tasks of a long-running step. Otherwise the
-// short tasks of the team, which come after it in a pass, would take each part of the limit as it becomes free, and a task
-// larger than they are would wait for ever. Room that the team's other long-running tasks use will not become free, and is
-// not waited for.
-func (p *placement) reserveLimit(q sharer.Quota, c *candidate, held int) sharer.Quota {
-	if held == 0 || !c.longRunning || !p.couldRun(c) {
+// reserveLimit returns the quota of a team with room set aside for the held tasks of a long-running step, and for the
+// next tasks of an oversized one. Otherwise the short tasks of the team, which come after it in a pass, would take each
+// part of the limit as it becomes free, and a task larger than they are would wait for ever. Room that the team's other
+// long-running tasks use will not become free, and is not waited for.
+func (p *placement) reserveLimit(q sharer.Quota, c *candidate, startable, held int) sharer.Quota {
+	waitsForShort := startable == 0 && c.isOversized(q)
+	if held == 0 || !c.longRunning && !waitsForShort || !p.couldRun(c) {
 		return q
 	}
-	step := c.job.Steps[c.step]
-	n := min(held, p.teams.lasting[c.job.Team].Startable(step.Demand()))
-	if step.Gang && n < step.Count {
-		return q
+	demand, lasting := c.job.Steps[c.step].Demand(), p.teams.lasting[c.job.Team]
+	n := min(held, lasting.Startable(demand))
+	if n < c.leastStart() {
+		if !lasting.Admits(c.leastStart(), demand) {
+			return q
+		}
+		n = c.leastStart()
 	}
-	p.teams.lasting[c.job.Team] = p.teams.lasting[c.job.Team].WithStarts(n, step.Demand())
-	return q.WithStarts(n, step.Demand())
+	if c.longRunning {
+		p.teams.lasting[c.job.Team] = lasting.WithStarts(n, demand)
+	}
+	return q.WithStarts(n, demand)
 }
 
 // recordHeld counts the starts of a step that the limit of its team holds back, and logs them at most once in
@@ -238,10 +299,22 @@
 	team, _ := t.committed.Config().Team(name)
 	t.logDecision(messenger.Decision{
 		Event: "startsHeld", Job: c.job.ID, Pool: c.pool, Candidates: n,
-		Reason: fmt.Sprintf("team %.40q may have %+v running, and its limit is %+v", name, p.teams.used[name], team.Limit),
+		Reason: fmt.Sprintf("team %.40q may have %+v running, and its limit is %+v%s", name, p.teams.used[name], team.Limit, p.oversizeNote(c)),
 	})
 }
 
+// oversizeNote says when held tasks may start that never fit the limit of their team, as a phrase for the log.
+func (p *placement) oversizeNote(c *candidate) string {
+	demand := c.job.Steps[c.step].Demand()
+	switch {
+	case !c.isOversized(p.teams.quotas[c.job.Team]):
+		return ""
+	case p.teams.lasting[c.job.Team].Admits(c.leastStart(), demand):
+		return fmt.Sprintf("; %d with %+v each exceed it and start while the team uses less than half of it", c.leastStart(), demand)
+	}
+	return fmt.Sprintf("; %d with %+v each exceed it and wait for a higher limit or for the end of long-running tasks", c.leastStart(), demand)
+}
+
 // endTeams stores what the next pass needs.
 func (t *transition) endTeams(p *placement) {
 	if p.teams != nil {
--- a/sharer/quota.go
+++ b/sharer/quota.go
@@ -4,35 +4,76 @@
 
 import (
 	"math"
+	"slices"
 
 	"laburnumwind/registrar"
 )
 
 // Quota is the limit of a team and what the team may have running. A limit of zero means that the kind of resource has
 // no limit.
-type Quota struct{ limit, used registrar.Resources }
+type Quota struct{ limit, used, longRunning registrar.Resources }
 
 // NewQuota returns the quota of a team that may have used running.
 func NewQuota(limit, used registrar.Resources) Quota { return Quota{limit: limit, used: used} }
 
+// WithLongRunning returns the quota of a team whose long-running tasks use r. It is part of what is used.
+func (q Quota) WithLongRunning(r registrar.Resources) Quota {
+	q.longRunning = r
+	return q
+}
+
 // WithStarts returns the quota after n starts of tasks with the given demand.
 func (q Quota) WithStarts(n int, demand registrar.Resources) Quota {
 	q.used = q.used.Add(demand.Times(n))
 	return q
 }
 
-// Startable returns how many tasks with the given demand may start, or math.MaxInt32 if there is no bound. Where more is
-// used than the limit, nothing that needs the kind of resource may start.
-func (q Quota) Startable(demand registrar.Resources) int {
-	n := math.MaxInt32
-	for _, kind := range []struct{ limit, used, needed int }{
-		{q.limit.CPU, q.used.CPU, demand.CPU},
-		{q.limit.Memory, q.used.Memory, demand.Memory},
-		{q.limit.GPU, q.used.GPU, demand.GPU},
+// kindQuota is the quota of one kind of resource.
+type kindQuota struct{ limit, used, longRunning, needed int }
+
+// kinds returns the quotas of the kinds of resources that have a limit and that a task with the given demand needs.
+func (q Quota) kinds(demand registrar.Resources) []kindQuota {
+	var kinds []kindQuota
+	for _, k := range [...]kindQuota{
+		{q.limit.CPU, q.used.CPU, q.longRunning.CPU, demand.CPU},
+		{q.limit.Memory, q.used.Memory, q.longRunning.Memory, demand.Memory},
+		{q.limit.GPU, q.used.GPU, q.longRunning.GPU, demand.GPU},
 	} {
-		if kind.limit > 0 && kind.needed > 0 {
-			n = min(n, max(kind.limit-kind.used, 0)/kind.needed)
+		if k.limit > 0 && k.needed > 0 {
+			kinds = append(kinds, k)
 		}
 	}
+	return kinds
+}
+
+// Startable returns how many tasks with the given demand fit the limit, or math.MaxInt32 if there is no bound. Where more
+// is used than the limit, nothing that needs the kind of resource fits.
+func (q Quota) Startable(demand registrar.Resources) int {
+	n := math.MaxInt32
+	for _, k := range q.kinds(demand) {
+		n = min(n, max(k.limit-k.used, 0)/k.needed)
+	}
 	return n
 }
+
+// Admits reports whether n tasks with the given demand may start together. Tasks that would never fit may exceed the
+// limit by at most one task, while the team uses less than half of it. Otherwise tasks that were accepted under a higher
+// limit would wait for ever.
+func (q Quota) Admits(n int, demand registrar.Resources) bool {
+	for _, k := range q.kinds(demand) {
+		fits := k.used+n*k.needed <= k.limit
+		mayExceed := k.neverFits(n) && k.used+(n-1)*k.needed <= k.limit && 2*k.used < k.limit
+		if !fits && !mayExceed {
+			return false
+		}
+	}
+	return true
+}
+
+// NeverFits reports whether n tasks with the given demand together exceed what the long-running tasks of the team leave
+// of its limit, so that the ends of its other tasks cannot make room for them.
+func (q Quota) NeverFits(n int, demand registrar.Resources) bool {
+	return slices.ContainsFunc(q.kinds(demand), func(k kindQuota) bool { return k.neverFits(n) })
+}
+
+func (k kindQuota) neverFits(n int) bool { return k.longRunning+n*k.needed > k.limit }
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -41,6 +41,42 @@
 	}
 }
 
+// TestOversized guards against tasks that are never admitted since they exceed the limit of their team (review/15), and
+// against more than one task above it.
+func TestOversized(t *testing.T) {
+	limit := registrar.Resources{CPU: 4000, Memory: 100, GPU: 2}
+	tests := map[string]struct {
+		used, longRunning, demand registrar.Resources
+		n                         int
+		neverFits, admitted       bool
+	}{
+		"fits":                            {demand: registrar.Resources{CPU: 4000}, n: 1, admitted: true},
+		"waits for room":                  {used: registrar.Resources{CPU: 1000}, demand: registrar.Resources{CPU: 4000}, n: 1},
+		"exceeds it, nothing used":        {demand: registrar.Resources{CPU: 64_000}, n: 1, neverFits: true, admitted: true},
+		"exceeds it, less than half used": {used: registrar.Resources{CPU: 1999}, demand: registrar.Resources{CPU: 4001}, n: 1, neverFits: true, admitted: true},
+		"exceeds it, half used":           {used: registrar.Resources{CPU: 2000}, demand: registrar.Resources{CPU: 4001}, n: 1, neverFits: true},
+		"beside long-running tasks":       {used: registrar.Resources{CPU: 1500}, longRunning: registrar.Resources{CPU: 1500}, demand: registrar.Resources{CPU: 3000}, n: 1, neverFits: true, admitted: true},
+		"no room beside long-running":     {used: registrar.Resources{CPU: 3000}, longRunning: registrar.Resources{CPU: 3000}, demand: registrar.Resources{CPU: 3000}, n: 1, neverFits: true},
+		"memory":                          {used: registrar.Resources{CPU: 3000}, demand: registrar.Resources{CPU: 1000, Memory: 101}, n: 1, neverFits: true, admitted: true},
+		"memory, no processor left":       {used: registrar.Resources{CPU: 3001}, demand: registrar.Resources{CPU: 1000, Memory: 101}, n: 1, neverFits: true},
+		"accelerators":                    {used: registrar.Resources{Memory: 100}, demand: registrar.Resources{GPU: 3}, n: 1, neverFits: true, admitted: true},
+		"a kind that it does not need":    {used: registrar.Resources{GPU: 9}, demand: registrar.Resources{CPU: 4001}, n: 1, neverFits: true, admitted: true},
+		"a gang by one task":              {demand: registrar.Resources{CPU: 1500}, n: 3, neverFits: true, admitted: true},
+		"a gang by one task, beside":      {used: registrar.Resources{CPU: 1001}, demand: registrar.Resources{CPU: 1500}, n: 3, neverFits: true},
+		"a gang by two tasks":             {demand: registrar.Resources{CPU: 1500}, n: 4, neverFits: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := NewQuota(limit, tt.used).WithLongRunning(tt.longRunning)
+			must.EqOp(t, tt.neverFits, q.NeverFits(tt.n, tt.demand))
+			must.EqOp(t, tt.admitted, q.Admits(tt.n, tt.demand))
+			if tt.admitted && tt.neverFits {
+				must.False(t, q.WithStarts(tt.n, tt.demand).Admits(1, tt.demand), must.Sprint("one at a time"))
+			}
+		})
+	}
+}
+
 // TestCreditOfIdleTeam guards against a team that saves up credit while it is idle: after an hour without use, it is
 // below its share for a few seconds only. It also checks that a record at a new leader ranks teams by what they run.
 func TestCreditOfIdleTeam(t *testing.T) {
