scheduler: refuse a job whose gang exceeds the limit of its team

What callers saw: a job with a gang that needs more than its team's limit was accepted and stayed "queued" with nothing running (LOST).

Cause: a submission was checked for single tasks above the limit, not for a gang, which starts as a whole or not at all. No start of it is within the limit, so the job cannot run; it was known when the job was accepted.

Evidence: the case "gang too large as a whole" of TestJobAboveLimit got 200 before the change.

Fix: such a submission gets 400 with the reason in jobInvalid, like one with a task above the limit. A gang that was accepted under a higher limit still waits for one (TestGangBelowLimitAgain): to end its job would lose it.

--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -107,7 +107,7 @@
 	return registrar.Resources{CPU: r.cpuDemand, Memory: r.resources.Memory, GPU: r.resources.GPU}
 }
 
-// exceedsLimit returns an error if a task of the job alone exceeds the limit of the job's team.
+// exceedsLimit returns an error if a task of the job alone, or a gang as a whole, exceeds the limit of the job's team.
 func (t *transition) exceedsLimit(j registrar.Job) error {
 	team, ok := t.committed.Config().Team(j.Team)
 	if !ok {
@@ -115,6 +115,9 @@
 	}
 	quota := sharer.NewQuota(team.Limit, registrar.Resources{})
 	for i, s := range j.Steps {
+		if s.Gang && quota.NeverFits(s.Count, s.Demand()) {
+			return fmt.Errorf("the gang of step %d needs %+v, and the limit of team %.40q is %+v: %w", i, s.Demand().Times(s.Count), team.Name, team.Limit, registrar.ErrInvalid)
+		}
 		if quota.NeverFits(1, s.Demand()) {
 			return fmt.Errorf("a task of step %d needs %+v, and the limit of team %.40q is %+v: %w", i, s.Demand(), team.Name, team.Limit, registrar.ErrInvalid)
 		}
--- a/scheduler/quota_test.go
+++ b/scheduler/quota_test.go
@@ -297,7 +297,7 @@
 	must.EqOp(t, 0, w.committed.ActiveJobs())
 }
 
-// TestJobAboveLimit checks that a job is refused if one of its tasks could never start within the limit of its team.
+// TestJobAboveLimit checks that a job is refused if one of its tasks, or a gang, exceeds the limit of its team.
 func TestJobAboveLimit(t *testing.T) {
 	tests := map[string]struct {
 		team   string
@@ -306,6 +306,8 @@
 	}{
 		"fits":                          {team: "x", step: registrar.Step{Count: 1, CPU: 3000, Memory: 100}, status: messenger.CallDone},
 		"fits one after another":        {team: "x", step: registrar.Step{Count: 9, CPU: 3000}, status: messenger.CallDone},
+		"gang that fits":                {team: "x", step: registrar.Step{Count: 3, CPU: 1000, Gang: true}, status: messenger.CallDone},
+		"gang too large as a whole":     {team: "x", step: registrar.Step{Count: 4, CPU: 1000, Gang: true}, status: messenger.CallInvalid},
 		"too many processors":           {team: "x", step: registrar.Step{Count: 1, CPU: 3001}, status: messenger.CallInvalid},
 		"too many for best effort":      {team: "x", step: registrar.Step{Count: 1, CPU: 3001, BestEffort: true}, status: messenger.CallInvalid},
 		"too much memory":               {team: "x", step: registrar.Step{Count: 1, Memory: 101}, status: messenger.CallInvalid},
