scheduler: do not refuse a repeated submission that is being committed

Cause: the check against the limit looked at committed jobs only. The check for jobs that can never run already leaves proposed ones out.

Evidence: TestRepeatAfterLoweredLimit got CallInvalid for the repetition before the change, while the first submission was accepted.

Fix: a submission whose job is proposed is not refused for the limit.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -128,6 +128,9 @@
 	err := j.Validate()
 	if err == nil {
 		err = t.exceedsLimit(j)
+		if err != nil && t.isProposed(j.ID) {
+			err = nil // the job may be committed and run
+		}
 	}
 	if err != nil {
 		t.refuseInvalid(callID, messenger.Decision{Event: "jobInvalid", Job: j.ID, Reason: err.Error()})
--- a/scheduler/quota_test.go
+++ b/scheduler/quota_test.go
@@ -398,3 +398,20 @@
 		})
 	}
 }
+
+// TestRepeatAfterLoweredLimit guards against a repeated submission that is refused although the first one is about to be
+// accepted: the limit was lowered between the two.
+func TestRepeatAfterLoweredLimit(t *testing.T) {
+	w := newSimCluster(t, 1, map[string]int{"a": 1}, faults{})
+	w.setTeams(registrar.Team{Name: "x", Weight: 1, Limit: registrar.Resources{CPU: 8000}})
+	w.RunFor(3 * time.Second)
+	call := jobCall(messenger.SubmitJob, "a", registrar.Job{ID: "j", Team: "x", Steps: []registrar.Step{{Count: 1, CPU: 4000, Estimate: time.Second}}})
+	var statuses []messenger.CallStatus
+	submit := func() { w.call(call, func(a messenger.JobAnswer) { statuses = append(statuses, a.Status) }) }
+	submit()
+	w.setTeams(registrar.Team{Name: "x", Weight: 1, Limit: registrar.Resources{CPU: 3000}})
+	submit()
+	w.RunFor(3 * time.Second)
+	must.Eq(t, []messenger.CallStatus{messenger.CallDone, messenger.CallDone}, statuses)
+	must.EqOp(t, 0, w.committed.ActiveJobs())
+}
