locator, scheduler: compute the waits of a step for its rack once for each pass

Cause: for each task without a place on the rack, the pass reserved places for all that were left, and each reservation compared all machines and scanned all reserved starts for each task.

Fix: the times of all tasks are computed once (Rack.Starts), a reserved task updates only its machine, and changes at the same time are kept as one. The decisions are as before, but a step's limit of tasks for each worker now also counts the tasks that wait.

--- a/locator/choice_test.go
+++ b/locator/choice_test.go
@@ -62,3 +62,47 @@
 		})
 	}
 }
+
+// TestStarts guards against times that differ from those of reservations made one after another, and against a machine that
+// gets more tasks than it may have.
+func TestStarts(t *testing.T) {
+	request := registrar.Resources{CPU: 1000}
+	machines := []Machine{
+		NewMachine("a", registrar.Resources{}).With(time.Second, request).With(3*time.Second, request),
+		NewMachine("b", registrar.Resources{}).With(2*time.Second, request),
+	}
+	tests := map[string]struct {
+		perMachine int
+		want       []time.Duration
+	}{
+		"any number of tasks":         {9, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 6 * time.Second, 7 * time.Second}},
+		"two tasks for each machine":  {2, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 7 * time.Second}},
+		"none may use either machine": {0, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tasks := Tasks{Count: 5, Request: request, RunTime: 5 * time.Second, MayUse: func(_ string, planned int) bool { return planned < tt.perMachine }}
+			must.SliceEqOp(t, tt.want, NewRack(machines).Starts(tasks))
+			if tt.perMachine < 9 {
+				return
+			}
+			rack := NewRack(machines)
+			tasks.Count = 1
+			for _, want := range tt.want {
+				next, wait, ok := rack.Reserve(tasks)
+				must.True(t, ok)
+				must.EqOp(t, want, wait)
+				rack = next
+			}
+		})
+	}
+}
+
+// TestWithStarts guards against starts that the forecast forgets, and against those on machines of other racks.
+func TestWithStarts(t *testing.T) {
+	request := registrar.Resources{CPU: 1000}
+	rack := NewRack([]Machine{NewMachine("a", request.Times(2))})
+	rack = rack.WithStarts([]Start{{Machine: "a", RunTime: time.Second, Resources: request}, {Machine: "a", RunTime: 4 * time.Second, Resources: request}, {Machine: "other", Resources: request}})
+	tasks := Tasks{Count: 3, Request: request, RunTime: 5 * time.Second, MayUse: func(string, int) bool { return true }}
+	must.SliceEqOp(t, []time.Duration{time.Second, 4 * time.Second, 6 * time.Second}, rack.Starts(tasks))
+}
--- a/locator/rack.go
+++ b/locator/rack.go
@@ -4,6 +4,7 @@
 package locator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -35,11 +36,42 @@
 
 // With returns the machine with a change of its free resources expected after the given time.
 func (m Machine) With(after time.Duration, resources registrar.Resources) Machine {
-	m = m.withCapacity(1)
-	m.insert(after, resources)
+	return m.WithReleases([]Release{{After: after, Resources: resources}})
+}
+
+// Release is the expected release of resources by a run.
+type Release struct {
+	After     time.Duration // from now
+	Resources registrar.Resources
+}
+
+// WithReleases returns the machine with expected releases of resources.
+func (m Machine) WithReleases(releases []Release) Machine {
+	changes := make([]change, 0, len(m.changes)+len(releases))
+	changes = append(changes, m.changes...)
+	for _, r := range releases {
+		changes = append(changes, change{after: r.After, resources: r.Resources})
+		m.final = m.final.Add(r.Resources)
+	}
+	slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(a.after, b.after) })
+	m.changes = merged(changes)
 	return m
 }
 
+// merged merges the changes at the same time in place. There are then as many changes as times, although many equal tasks
+// start and end together.
+func merged(changes []change) []change {
+	out := changes[:0]
+	for _, c := range changes {
+		if n := len(out); n > 0 && out[n-1].after == c.after {
+			out[n-1].resources = out[n-1].resources.Add(c.resources)
+			continue
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 // withCapacity returns the machine with a copy of its changes that has room for more of them.
 func (m Machine) withCapacity(more int) Machine {
 	m.changes = append(make([]change, 0, len(m.changes)+more), m.changes...)
@@ -48,12 +80,16 @@
 
 // insert adds a change in place. The machine must hold the only copy of its changes.
 func (m *Machine) insert(after time.Duration, resources registrar.Resources) {
+	m.final = m.final.Add(resources)
 	i := len(m.changes)
 	for i > 0 && m.changes[i-1].after > after {
 		i--
 	}
+	if i > 0 && m.changes[i-1].after == after {
+		m.changes[i-1].resources = m.changes[i-1].resources.Add(resources)
+		return
+	}
 	m.changes = slices.Insert(m.changes, i, change{after: after, resources: resources})
-	m.final = m.final.Add(resources)
 }
 
 // insertStart adds a run in place that is expected to start and to end after the given times.
@@ -99,50 +135,133 @@
 // Tasks that are considered later are thus expected to wait longer, which bounds the number of waiting tasks by the
 // rate at which the rack completes runs.
 func (r Rack) Reserve(t Tasks) (Rack, time.Duration, bool) {
-	machines := slices.Clone(r.machines)
-	planned := make([]int, len(machines))
-	last := time.Duration(0)
-	starts := make([]int, 0, t.Count)
-	for n := range t.Count {
-		best, bestAt := -1, time.Duration(0)
-		for i, m := range machines {
-			if !t.MayUse(m.Name, planned[i]) {
-				continue
-			}
-			at, ok := m.earliest(t.Request)
-			if ok && (best < 0 || at < bestAt) {
-				best, bestAt = i, at
-			}
-		}
-		if best < 0 {
+	v := newReservation(r, t)
+	for range t.Count {
+		if !v.add() {
 			return r, 0, false
 		}
-		if planned[best] == 0 {
-			machines[best] = machines[best].withCapacity(2 * (t.Count - n))
+	}
+	return v.rack(), v.last(), true
+}
+
+// Starts returns the times until Reserve expects the tasks to start, in their order. It returns fewer times than tasks if
+// those of the others are not known.
+func (r Rack) Starts(t Tasks) []time.Duration {
+	v := newReservation(r, t)
+	for range t.Count {
+		if !v.add() {
+			break
 		}
-		planned[best]++
-		last = max(last, bestAt)
-		if t.Together { // its place must not be counted twice
-			machines[best].final = machines[best].final.Sub(t.Request)
-			starts = append(starts, best)
-			continue
+	}
+	return v.starts
+}
+
+// reservation is a forecast to which tasks are added one after another.
+type reservation struct {
+	tasks    Tasks
+	machines []reservedMachine
+	starts   []time.Duration // of the tasks added so far, which never decrease
+}
+
+// reservedMachine is a machine with the number of tasks that are added to it and the time of the next one.
+type reservedMachine struct {
+	Machine
+	planned int
+	next    time.Duration
+	hasNext bool // there is a known time for one more task
+}
+
+func newReservation(r Rack, t Tasks) *reservation {
+	v := &reservation{tasks: t, machines: make([]reservedMachine, len(r.machines)), starts: make([]time.Duration, 0, t.Count)}
+	for i, m := range r.machines {
+		v.machines[i] = reservedMachine{Machine: m}
+		v.machines[i].findNext(t)
+	}
+	return v
+}
+
+// findNext updates the time of the next task. Only the machine to which a task was added has another one.
+func (m *reservedMachine) findNext(t Tasks) {
+	m.next, m.hasNext = 0, false
+	if t.MayUse(m.Name, m.planned) {
+		m.next, m.hasNext = m.earliest(t.Request)
+	}
+}
+
+// add adds one task at the earliest time. It returns false if there is no known time for it.
+func (v *reservation) add() bool {
+	var best *reservedMachine
+	for i := range v.machines {
+		m := &v.machines[i]
+		if m.hasNext && (best == nil || m.next < best.next) {
+			best = m
 		}
-		machines[best].insertStart(bestAt, bestAt+t.RunTime, t.Request)
 	}
-	for _, i := range starts {
-		machines[i].insert(last+t.RunTime, t.Request)
+	if best == nil {
+		return false
+	}
+	if best.planned == 0 {
+		best.Machine = best.withCapacity(2)
+	}
+	best.planned++
+	v.starts = append(v.starts, best.next)
+	if v.tasks.Together { // its place must not be counted twice
+		best.final = best.final.Sub(v.tasks.Request)
+	} else {
+		best.insertStart(best.next, best.next+v.tasks.RunTime, v.tasks.Request)
+	}
+	best.findNext(v.tasks)
+	return true
+}
+
+// last returns the time until the last task starts.
+func (v *reservation) last() time.Duration {
+	if len(v.starts) == 0 {
+		return 0
+	}
+	return v.starts[len(v.starts)-1]
+}
+
+// rack returns the forecast with the tasks.
+func (v *reservation) rack() Rack {
+	machines := make([]Machine, len(v.machines))
+	for i, m := range v.machines {
+		if v.tasks.Together && m.planned > 0 {
+			m.insert(v.last()+v.tasks.RunTime, v.tasks.Request.Times(m.planned))
+		}
+		machines[i] = m.Machine
 	}
-	return Rack{machines: machines}, last, true
+	return Rack{machines: machines}
 }
 
-// WithStart returns the forecast with a run that starts now on a machine of the rack.
-func (r Rack) WithStart(machine string, runTime time.Duration, resources registrar.Resources) Rack {
+// Start is a run that starts now.
+type Start struct {
+	Machine   string
+	RunTime   time.Duration
+	Resources registrar.Resources
+}
+
+// WithStarts returns the forecast with runs that start now on machines of the rack. It ignores the runs on others.
+func (r Rack) WithStarts(starts []Start) Rack {
+	byMachine := make(map[string][]Start)
+	for _, s := range starts {
+		byMachine[s.Machine] = append(byMachine[s.Machine], s)
+	}
 	machines := slices.Clone(r.machines)
 	for i, m := range machines {
-		if m.Name == machine {
-			machines[i] = m.withCapacity(1)
-			machines[i].insertStart(0, runTime, resources)
+		if started := byMachine[m.Name]; len(started) > 0 {
+			machines[i] = m.withStarts(started)
 		}
 	}
 	return Rack{machines: machines}
 }
+
+// withStarts returns the machine with runs that start now.
+func (m Machine) withStarts(starts []Start) Machine {
+	releases := make([]Release, 0, len(starts))
+	for _, s := range starts {
+		m.final = m.final.Sub(s.Resources)
+		releases = append(releases, Release{After: s.RunTime, Resources: s.Resources})
+	}
+	return m.WithReleases(releases)
+}
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -48,8 +48,10 @@
 	groupWaits  bool   // all tasks without a place in the rack wait for one
 	isElsewhere bool   // the remaining tasks start on any rack
 	hasForecast bool
-	forecast    locator.Rack // of the rack, with the starts and the waiting tasks of this step
-	waiting     int          // number of tasks that wait for the rack
+	forecast    locator.Rack    // of the rack, with the starts of this step
+	tasks       locator.Tasks   // of this step that have no place in the rack, if hasForecast
+	starts      []time.Duration // until these tasks are expected to start in the rack, as far as it is known
+	waiting     int             // number of tasks that wait for the rack
 	wait        time.Duration
 	cost        time.Duration
 }
@@ -104,18 +106,18 @@
 	}
 	machines := make([]locator.Machine, 0, len(rack.workers))
 	for _, w := range rack.workers {
-		m := locator.NewMachine(w.ID, w.free)
+		var releases []locator.Release
 		for _, r := range w.runs.All() {
 			if !r.longRunning || r.stopping {
-				m = m.With(p.locality.remaining(*w.worker, r), r.resources)
+				releases = append(releases, locator.Release{After: p.locality.remaining(*w.worker, r), Resources: r.resources})
 			}
 		}
 		for i, s := range p.starts {
 			if s.Worker == w.ID {
-				m = m.With(p.startedRunTime(i), p.runs[i].resources)
+				releases = append(releases, locator.Release{After: p.startedRunTime(i), Resources: p.runs[i].resources})
 			}
 		}
-		machines = append(machines, m)
+		machines = append(machines, locator.NewMachine(w.ID, w.free).WithReleases(releases))
 	}
 	rack.forecast, rack.hasForecast = locator.NewRack(machines), true
 	return rack.forecast
@@ -268,27 +270,43 @@
 		return false
 	}
 	if !choice.hasForecast {
-		choice.forecast, choice.hasForecast = p.forecastOf(rack), true
-		for i, s := range p.starts[firstStart:] {
-			choice.forecast = choice.forecast.WithStart(s.Worker, p.startedRunTime(firstStart+i), p.runs[firstStart+i].resources)
+		p.forecastWaits(c, choice, rack, runCounts, firstStart)
+		if choice.groupWaits {
+			choice.waiting++
+			return true
 		}
 	}
-	remaining := len(c.waiting) - (len(p.starts) - firstStart) - choice.waiting
-	forecast, wait, known := choice.forecast.Reserve(p.tasksOf(c, rack, runCounts, remaining))
-	choice.groupWaits = p.weigh(c, wait, known && wait > 0).Waits // it pays for the last one, so it does for all
-	if !choice.groupWaits {
-		forecast, wait, known = choice.forecast.Reserve(p.tasksOf(c, rack, runCounts, 1))
+	wait, known := time.Duration(0), choice.waiting < len(choice.starts)
+	if known {
+		wait = choice.starts[choice.waiting]
 	}
 	d := p.weigh(c, wait, known && wait > 0) // with room now, the worker was not selected for another reason
 	if !d.Waits {
 		choice.isElsewhere = true
 		return false
 	}
-	choice.forecast, choice.wait, choice.cost = forecast, wait, d.Cost
+	choice.wait, choice.cost = wait, d.Cost
 	choice.waiting++
 	return true
 }
 
+// forecastWaits computes when the remaining tasks of a step are expected to start in their rack, once for all of them, and
+// decides whether all wait.
+func (p *placement) forecastWaits(c *candidate, choice *rackChoice, rack *rackWorkers, runCounts map[string]int, firstStart int) {
+	started := len(p.starts) - firstStart
+	choice.forecast, choice.hasForecast = p.forecastOf(rack).WithStarts(p.startedRuns(firstStart)), true
+	choice.tasks = p.tasksOf(c, rack, runCounts, len(c.waiting)-started-choice.waiting)
+	choice.starts = choice.forecast.Starts(choice.tasks)
+	if len(choice.starts) == 0 || len(choice.starts) < choice.tasks.Count {
+		return
+	}
+	last := choice.starts[len(choice.starts)-1]
+	d := p.weigh(c, last, last > 0)
+	if d.Waits { // it pays for the last one, so it does for all
+		choice.groupWaits, choice.wait, choice.cost = true, last, d.Cost
+	}
+}
+
 // recordRacks records the starts of a step, from index firstStart on, and its tasks that wait for a rack. A waiting
 // task adds no demand to its pool, because another machine would not help it.
 func (p *placement) recordRacks(c *candidate, choice rackChoice, firstStart int) {
@@ -313,7 +331,8 @@
 	p.keepWait(c, wait)
 	rack := p.racks(c.pool).byName[choice.rack]
 	if choice.hasForecast {
-		rack.forecast = choice.forecast
+		choice.tasks.Count = choice.waiting
+		rack.forecast, _, _ = choice.forecast.Reserve(choice.tasks)
 	} else {
 		rack.forecast, _, _ = p.forecastOf(rack).Reserve(p.tasksOf(c, rack, p.countRunsByWorker(c), choice.waiting))
 	}
@@ -326,15 +345,26 @@
 
 // addToForecasts adds the starts from index firstStart on to the forecasts of a pool's racks.
 func (p *placement) addToForecasts(racks *poolRacks, firstStart int) {
-	for i, s := range p.starts[firstStart:] {
-		for _, rack := range racks.all {
-			if rack.hasForecast && rack.byID[s.Worker] != nil {
-				rack.forecast = rack.forecast.WithStart(s.Worker, p.startedRunTime(firstStart+i), p.runs[firstStart+i].resources)
-			}
+	started := p.startedRuns(firstStart)
+	if len(started) == 0 {
+		return
+	}
+	for _, rack := range racks.all {
+		if rack.hasForecast {
+			rack.forecast = rack.forecast.WithStarts(started)
 		}
 	}
 }
 
+// startedRuns returns the starts from index firstStart on as the forecast of a rack needs them.
+func (p *placement) startedRuns(firstStart int) []locator.Start {
+	started := make([]locator.Start, 0, len(p.starts)-firstStart)
+	for i, s := range p.starts[firstStart:] {
+		started = append(started, locator.Start{Machine: s.Worker, RunTime: p.startedRunTime(firstStart + i), Resources: p.runs[firstStart+i].resources})
+	}
+	return started
+}
+
 // extendRunTimes extends the expected run times of a step's starts, from index firstStart on, that are on a rack on
 // which they take longer.
 func (p *placement) extendRunTimes(c *candidate, step registrar.Step, firstStart int) {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -66,6 +66,7 @@
 	remoteFactor    float64       // factor by which tasks take longer on a rack that is not the one of their data or of their step; zero: none
 	policy          func(*Config) // changes the configuration of each leader; nil: none
 	losesReplies    bool          // the provider's replies to orders are lost
+	longestStep     time.Duration // the longest time that the scheduler took for one message, on the clock of the machine
 	limitLowered    bool          // starts that were assigned under a higher limit may exceed that of their team
 }
 
@@ -182,7 +183,9 @@
 func (w *simCluster) deliver(body any) {
 	var out []messenger.Message
 	w.steps++
+	began := time.Now()
 	w.state, out = w.state.Step(w.Now(), body)
+	w.longestStep = max(w.longestStep, time.Since(began))
 	for _, m := range out {
 		switch b := m.Body.(type) {
 		case messenger.ProposeJobs:
