authorizer, scheduler: let a team reach its jobs after their queue becomes public

What callers saw: a team submits jobs with its key, and a new configuration makes their route public.

Cause: the decision on a call had one team for two questions: to whom a submitted job belongs, and who calls. Jobs on a public queue belong to no team, so the key of a caller there was ignored.

TestQueueBecomesPublic failed before the change in the cases "own key", "replaced key" and "the team has returned".

Fix: the decision names the owner of a submitted job and the team of the key apart. The second decides which jobs a caller sees, repeats and cancels. A caller without the team's key gets the answers for a missing job, as before.

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -40,11 +40,12 @@
 	return [...]string{"none", "admitted", "no queue", "no key", "unknown key", "sender forwards no keys"}[v]
 }
 
-// Decision is the decision on a call. Queue and Team are zero unless the call is admitted.
+// Decision is the decision on a call. All other fields are zero unless the call is admitted.
 type Decision struct {
 	Verdict Verdict
 	Queue   registrar.Queue
-	Team    string // team that the key belongs to; empty: the queue is public, or there are no teams
+	Team    string // owner of a job that the call submits; empty: the queue is public, or there are no teams
+	Caller  string // team that the key belongs to, also on a public queue; empty: no key of a team
 }
 
 // teamKey is the digest of a key and the name of its team.
@@ -126,13 +127,12 @@
 	if len(r.config.Teams) == 0 {
 		return Decision{Verdict: Admitted, Queue: queue}
 	}
-	if queue.Public { // its callers need not send their key with every call, so its jobs belong to no team
-		return Decision{Verdict: Admitted, Queue: queue}
-	}
 	team, known := r.teamOf(c.KeyDigest)
 	switch {
+	case queue.Public: // its callers need not send their key with every call, so its jobs belong to no team
+		return Decision{Verdict: Admitted, Queue: queue, Caller: team}
 	case known:
-		return Decision{Verdict: Admitted, Queue: queue, Team: team}
+		return Decision{Verdict: Admitted, Queue: queue, Team: team, Caller: team}
 	case !c.ForwardsKey:
 		return Decision{Verdict: NotForward}
 	case len(c.KeyDigest) == 0:
--- a/authorizer/authorizer_test.go
+++ b/authorizer/authorizer_test.go
@@ -27,16 +27,17 @@
 		old, noTeams bool // the sender does not forward keys; the configuration has no teams
 		want         Verdict
 		queue, team  string
+		caller       string
 	}{
-		"second key of a team":             {path: "/q/", key: "a2", want: Admitted, queue: "q", team: "a"},
-		"key of another team":              {path: "/q/", key: "b1", want: Admitted, queue: "q", team: "b"},
+		"second key of a team":             {path: "/q/", key: "a2", want: Admitted, queue: "q", team: "a", caller: "a"},
+		"key of another team":              {path: "/q/", key: "b1", want: Admitted, queue: "q", team: "b", caller: "b"},
 		"no key":                           {path: "/q/", want: NoKey},
 		"unknown key":                      {path: "/q/", key: "c1", want: UnknownKey},
 		"unknown route without a key":      {path: "/x/", want: NoQueue},
 		"unknown route with a key":         {path: "/x/", key: "a1", want: NoQueue},
 		"public queue without a key":       {path: "/q/open/", want: Admitted, queue: "open"},
 		"public queue with an unknown key": {path: "/q/open/", key: "c1", want: Admitted, queue: "open"},
-		"public queue with a key":          {path: "/q/open/", key: "b1", want: Admitted, queue: "open"},
+		"public queue with a key":          {path: "/q/open/", key: "b1", want: Admitted, queue: "open", caller: "b"},
 		"older sender":                     {path: "/q/", old: true, want: NotForward},
 		"older sender, public queue":       {path: "/q/open/", old: true, want: Admitted, queue: "open"},
 		"no teams, older sender":           {path: "/q/", old: true, noTeams: true, want: Admitted, queue: "q"},
@@ -53,7 +54,7 @@
 			}
 			rules := NewRules(config)
 			d := rules.Decide(c)
-			must.Eq(t, []any{tt.want, tt.queue, tt.team}, []any{d.Verdict, d.Queue.Name, d.Team})
+			must.Eq(t, []any{tt.want, tt.queue, tt.team, tt.caller}, []any{d.Verdict, d.Queue.Name, d.Team, d.Caller})
 			must.EqOp(t, tt.noTeams, rules.List().ID == "")
 			must.EqOp(t, tt.noTeams, rules.MayAccess("b", registrar.Job{Team: "a"}))
 			if !tt.noTeams {
--- a/scheduler/access_test.go
+++ b/scheduler/access_test.go
@@ -83,6 +83,62 @@
 	}
 }
 
+// TestQueueBecomesPublic guards against jobs of a team that its own key does not find any more once their queue is public
+// (review/14), and against jobs that callers without that key learn of or cancel. It also covers the other direction, keys
+// that are replaced, and teams that leave and return.
+func TestQueueBecomesPublic(t *testing.T) {
+	private := func(version int64, teams ...string) registrar.Config { return teamConfig(version, teams...) }
+	public := func(version int64, teams ...string) registrar.Config {
+		c := teamConfig(version, teams...)
+		c.Queues[0].Name, c.Queues[0].Public = "renamed", true
+		return c
+	}
+	replacedKey := func(version int64) registrar.Config {
+		c := public(version, "x", "y")
+		c.Teams[0].KeyDigests = [][]byte{registrar.KeyDigest("x2")}
+		return c
+	}
+	const found, missing, refused, invalid = messenger.CallDone, messenger.CallJobNotFound, messenger.CallUnauthorized, messenger.CallInvalid
+	tests := map[string]struct {
+		first           registrar.Config // under which the job is submitted
+		submitter       string           // its key
+		changes         []registrar.Config
+		key             string
+		want, repeating messenger.CallStatus // of the state and the cancellation, and of a repeated submission
+	}{
+		"own key":                           {private(1, "x", "y"), "x", []registrar.Config{public(2, "x", "y")}, "x", found, found},
+		"key of another team":               {private(1, "x", "y"), "x", []registrar.Config{public(2, "x", "y")}, "y", missing, invalid},
+		"no key":                            {private(1, "x", "y"), "x", []registrar.Config{public(2, "x", "y")}, "", missing, invalid},
+		"unknown key":                       {private(1, "x", "y"), "x", []registrar.Config{public(2, "x", "y")}, "z", missing, invalid},
+		"own key, private again":            {private(1, "x", "y"), "x", []registrar.Config{public(2, "x", "y"), private(3, "x", "y")}, "x", found, found},
+		"key of another, private again":     {private(1, "x", "y"), "x", []registrar.Config{public(2, "x", "y"), private(3, "x", "y")}, "y", missing, invalid},
+		"replaced key":                      {private(1, "x", "y"), "x", []registrar.Config{replacedKey(2)}, "x2", found, found},
+		"key that was replaced":             {private(1, "x", "y"), "x", []registrar.Config{replacedKey(2)}, "x", missing, invalid},
+		"the team has left":                 {private(1, "x", "y"), "x", []registrar.Config{public(2, "y")}, "x", missing, invalid},
+		"the team has returned":             {private(1, "x", "y"), "x", []registrar.Config{public(2, "y"), public(3, "x", "y")}, "x", found, found},
+		"public job, own key":               {public(1, "x", "y"), "x", nil, "x", found, found},
+		"public job, no key":                {public(1, "x", "y"), "x", nil, "", found, found},
+		"public job, private now":           {public(1, "x", "y"), "x", []registrar.Config{private(2, "x", "y")}, "x", found, found},
+		"public job, private now, no key":   {public(1, "x", "y"), "x", []registrar.Config{private(2, "x", "y")}, "", refused, refused},
+		"public job without a key, private": {public(1, "x", "y"), "", []registrar.Config{private(2, "x", "y")}, "y", found, found},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newTeamCluster(t, tt.first)
+			must.EqOp(t, messenger.CallDone, w.answerTo(keyCall(messenger.SubmitJob, "/a/", tt.submitter)).Status)
+			for _, c := range tt.changes {
+				must.EqOp(t, messenger.CallDone, w.answerTo(messenger.PutConfig{Config: c}).Status)
+			}
+			w.changeLeader()
+			must.EqOp(t, tt.repeating, w.answerTo(keyCall(messenger.SubmitJob, "/a/", tt.key)).Status)
+			must.EqOp(t, tt.want, w.answerTo(keyCall(messenger.GetJob, "/a/", tt.key)).Status)
+			must.EqOp(t, tt.want, w.answerTo(keyCall(messenger.CancelJob, "/a/", tt.key)).Status)
+			j, _ := w.committed.Job("j")
+			must.EqOp(t, tt.want == found, j.Outcome == registrar.Canceled)
+		})
+	}
+}
+
 // TestRevokedKey checks that a key is refused as soon as the configuration without it is acknowledged, and that an added
 // key is served then, also by the next leader. A deposed leader, which may hold the configuration before, answers nothing.
 func TestRevokedKey(t *testing.T) {
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"laburnumwind/authorizer"
 	"laburnumwind/indexer"
 	"laburnumwind/messenger"
 	"laburnumwind/registrar"
@@ -100,12 +101,11 @@
 	}
 	switch c.Verb {
 	case messenger.SubmitJob:
-		c.Job.Team = d.Team
-		t.submit(callID, d.Queue, c.Job)
+		t.submit(callID, d, c.Job)
 	case messenger.GetJob:
-		t.getJob(callID, c.Job.ID, d.Team)
+		t.getJob(callID, c.Job.ID, d.Caller)
 	case messenger.CancelJob:
-		t.cancel(callID, c.Job.ID, d.Team)
+		t.cancel(callID, c.Job.ID, d.Caller)
 	case messenger.CountPending:
 		pending := t.committed.Pending(d.Queue.Name, t.now)
 		t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallDone, Pending: pending})
@@ -114,9 +114,10 @@
 
 // submit proposes a new job. A repeated submission of a known job ID is acknowledged
 // without a change, so callers may retry it. The ID of another team's job is refused.
-func (t *transition) submit(callID uint64, q registrar.Queue, j registrar.Job) {
+func (t *transition) submit(callID uint64, d authorizer.Decision, j registrar.Job) {
+	q := d.Queue
 	_, known := t.committed.Job(j.ID)
-	_, visible := t.job(j.ID, j.Team)
+	_, visible := t.job(j.ID, d.Caller)
 	if known && !visible {
 		t.refuseInvalid(callID, messenger.Decision{Event: "jobInvalid", Job: j.ID, Reason: "another team has a job with this ID"})
 		return
@@ -125,6 +126,7 @@
 		t.answerCall(callID, messenger.JobAnswer{Status: messenger.CallDone})
 		return
 	}
+	j.Team = d.Team
 	err := j.Validate()
 	if err == nil {
 		err = t.exceedsLimit(j)
