registrar: copy the tasks of a step once for each command

A job with a step of 4,000 tasks held up every controller for half a second when its starts were applied, and again when its ends were, on a whole core. The same thread renews the leader's lease.

Cause: each start or end copied all tasks of its step.

Fix: a command keeps the task slices that it has copied and changes them in place. No state before the command refers to them.

--- a/registrar/job.go
+++ b/registrar/job.go
@@ -4,7 +4,10 @@
 // the state and is deterministic, so that all replicas of the log agree.
 package registrar
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Step is a part of a job that consists of identical tasks.
 type Step struct {
@@ -150,16 +153,22 @@
 	return true
 }
 
+// taskCopies are the task slices that the command in progress has copied, by their first task. No state before the command
+// refers to them, so the command may change them in place: a step of thousands of tasks is copied once for each command,
+// not for each task.
+type taskCopies map[*Task]bool
+
 // withTask returns the occurrence with one task replaced.
-func (o Occurrence) withTask(step, index int, t Task) Occurrence {
-	steps := make([][]Task, len(o.Steps))
-	copy(steps, o.Steps)
-	tasks := make([]Task, len(o.Steps[step]))
-	copy(tasks, o.Steps[step])
+func (o Occurrence) withTask(step, index int, t Task, copies taskCopies) Occurrence {
+	tasks := o.Steps[step]
+	if !copies[&tasks[0]] {
+		tasks = slices.Clone(tasks)
+		copies[&tasks[0]] = true
+	}
 	oldPhase := tasks[index].Phase
 	tasks[index] = t
-	steps[step] = tasks
-	o.Steps = steps
+	o.Steps = slices.Clone(o.Steps)
+	o.Steps[step] = tasks
 	if oldPhase != Done && t.Phase == Done {
 		remaining := make([]int, len(o.Remaining))
 		copy(remaining, o.Remaining)
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -156,17 +156,18 @@
 	if c.Cancel != "" {
 		s, result = s.withCancel(at, c.Cancel)
 	}
+	copies := make(taskCopies)
 	for _, start := range c.Starts {
-		s = s.withStart(at, start)
+		s = s.withStart(at, start, copies)
 	}
 	for _, stop := range c.Stops {
-		s = s.withStop(stop)
+		s = s.withStop(stop, copies)
 	}
 	for _, id := range c.Begun {
 		s = s.withBegun(id)
 	}
 	for _, end := range c.Ends {
-		s = s.withEnd(at, end)
+		s = s.withEnd(at, end, copies)
 	}
 	for _, w := range c.Workers {
 		s = s.withWorker(w)
@@ -266,7 +267,7 @@
 
 // withStart records that a run of a waiting task is assigned. It ignores a run number that is
 // not higher than the last one, so a repeated or late command has no effect.
-func (s State) withStart(at time.Time, start Start) State {
+func (s State) withStart(at time.Time, start Start, copies taskCopies) State {
 	j, ok := s.Job(start.Task.Job)
 	if !ok || j.Outcome != Active {
 		return s
@@ -284,13 +285,13 @@
 	if start.Checkpoint != "" {
 		t.Checkpoint = start.Checkpoint
 	}
-	j = j.withOccurrence(o.withTask(start.Task.Step, start.Task.Index, t))
+	j = j.withOccurrence(o.withTask(start.Task.Step, start.Task.Index, t, copies))
 	j.Running++
 	return s.withRunning(j, start.Task.Step, 1).withJob(j)
 }
 
 // withStop records that the last run of a task is about to be stopped. It ignores an earlier run.
-func (s State) withStop(stop Stop) State {
+func (s State) withStop(stop Stop, copies taskCopies) State {
 	j, ok := s.Job(stop.Task.Job)
 	if !ok {
 		return s
@@ -304,7 +305,7 @@
 		return s
 	}
 	t.Stopping = true
-	return s.withJob(j.withOccurrence(o.withTask(stop.Task.Step, stop.Task.Index, t)))
+	return s.withJob(j.withOccurrence(o.withTask(stop.Task.Step, stop.Task.Index, t, copies)))
 }
 
 // withBegun records that a worker has started a run of a job.
@@ -321,7 +322,7 @@
 // too. It ignores the end of an earlier run, unless that run was successful: the run was recorded as ended before its
 // worker reported the success, which the worker forgets once it is acknowledged. The task is done then, also if it is
 // assigned again.
-func (s State) withEnd(at time.Time, end End) State {
+func (s State) withEnd(at time.Time, end End, copies taskCopies) State {
 	j, ok := s.Job(end.Task.Job)
 	if !ok {
 		return s
@@ -362,10 +363,10 @@
 	if failed {
 		t.Phase = Failed
 	}
-	j = j.withOccurrence(o.withTask(end.Task.Step, end.Task.Index, t))
+	j = j.withOccurrence(o.withTask(end.Task.Step, end.Task.Index, t, copies))
 	j.Running--
 	if gangDone {
-		j = j.withGangDone(end.Task)
+		j = j.withGangDone(end.Task, copies)
 	}
 	switch {
 	case j.Outcome != Active:
@@ -379,7 +380,7 @@
 
 // withGangDone marks all members of a gang as done. They end together, so the success of one
 // member holds for all of them.
-func (j Job) withGangDone(task TaskID) Job {
+func (j Job) withGangDone(task TaskID, copies taskCopies) Job {
 	o, ok := j.Occurrence(task.Occurrence)
 	if !ok {
 		return j
@@ -392,7 +393,7 @@
 			j.Running--
 		}
 		t.Phase = Done
-		o = o.withTask(task.Step, i, t)
+		o = o.withTask(task.Step, i, t, copies)
 	}
 	return j.withOccurrence(o)
 }
--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -274,3 +275,42 @@
 		})
 	}
 }
+
+// TestCostOfWideSteps guards against a command whose cost grows faster than the number of its starts or ends: each of them
+// copied all tasks of the step, and 4,000 starts held up each replica for half a second. It also checks that a command
+// leaves the state before it as it was.
+func TestCostOfWideSteps(t *testing.T) {
+	wide := func(n int) (State, Command, Command) {
+		s, _ := NewState().Apply(startTime, Command{Submit: newJob(Step{Count: n})})
+		starts, ends := Command{}, Command{}
+		for i := range n {
+			starts.Starts = append(starts.Starts, Start{Task: taskID(0, i), Run: 1, Worker: "w"})
+			ends.Ends = append(ends.Ends, End{Task: taskID(0, i), Run: 1, Reason: EndStopped})
+		}
+		return s, starts, ends
+	}
+	allocated := func(f func()) float64 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		f()
+		runtime.ReadMemStats(&after)
+		return float64(after.TotalAlloc - before.TotalAlloc)
+	}
+	cost := func(n int) (forStarts, forEnds float64) {
+		s, starts, ends := wide(n)
+		var started, ended State
+		forStarts = allocated(func() { started, _ = s.Apply(startTime, starts) })
+		forEnds = allocated(func() { ended, _ = started.Apply(startTime, ends) })
+		for phase, state := range map[Phase]State{Running: started, Waiting: ended} {
+			j, _ := state.Job("j")
+			for _, task := range j.ActiveOccurrences[0].Steps[0] {
+				must.EqOp(t, phase, task.Phase)
+			}
+		}
+		return forStarts, forEnds
+	}
+	starts, ends := cost(1000)
+	manyStarts, manyEnds := cost(4000)
+	must.Less(t, 8*starts, manyStarts) // four times as many, where the cost grows with their number
+	must.Less(t, 8*ends, manyEnds)
+}
--- a/scheduler/wide_test.go
+++ b/scheduler/wide_test.go
@@ -35,6 +35,8 @@
 		"some wait for a rack":  {jobs: 1, step: with(func(s *registrar.Step) { s.CPU, s.DataRack, s.Estimate = 80_000/n, "r-a-0", time.Minute }), factor: 1.5},
 		"many wait for a rack":  {jobs: n / 500, step: with(func(s *registrar.Step) { s.Count, s.CPU, s.DataRack, s.Estimate = 500, 80_000/n, "r-a-0", time.Minute }), factor: 1.5},
 		"team waits for a rack": {jobs: 1, step: with(func(s *registrar.Step) { s.CPU, s.DataRack, s.Estimate = 80_000/n, "r-a-0", time.Minute }), factor: 1.5, team: registrar.Team{Name: "x", Weight: 1}},
+		"many wide jobs wait":   {jobs: 40, step: with(func(s *registrar.Step) { s.CPU, s.DataRack, s.Estimate = 80_000/n, "r-a-0", time.Minute }), factor: 1.5},
+		"many teams' jobs wait": {jobs: 40, step: with(func(s *registrar.Step) { s.CPU, s.DataRack, s.Estimate = 80_000/n, "r-a-0", time.Minute }), factor: 1.5, team: registrar.Team{Name: "x", Weight: 1}},
 		"data on no rack":       {jobs: 1, step: with(func(s *registrar.Step) { s.DataRack = "r-none" })},
 		"same rack":             {jobs: 1, step: with(func(s *registrar.Step) { s.SameRack = true })},
 		"same rack, with data":  {jobs: 1, step: with(func(s *registrar.Step) { s.SameRack, s.DataRack = true, "r-a-0" })},
