assembler, replicator: a leader whose scheduler makes no progress gives up its place

Cause: the jobs stage renews the leader's lease on a thread of its own, whether the scheduler handles messages or not.

Fix: the scheduler of a leader sends a sign of progress twice a second. Without one for 2.5 s, the node steps down and lets its lease expire before another is elected, at most once a minute, so that a decision that takes as long everywhere is completed by one node. Suspended time does not count.

--- a/assembler/jobs.go
+++ b/assembler/jobs.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"fmt"
 	"time"
 
 	"laburnumwind/messenger"
@@ -82,7 +83,33 @@
 		last, lastApplied = view, s.Applied()
 		return broadcast(view, messenger.Scheduler, messenger.Responder)
 	}
-	return g.stage(messenger.Jobs)
+	watch := progressWatch{}
+	stage := g.stage(messenger.Jobs)
+	stage.Step = func(now time.Time, body any) []messenger.Message {
+		switch body.(type) {
+		case messenger.Progress:
+			watch = watch.WithProgress()
+			return nil
+		case messenger.Tick:
+			var isIdle bool
+			watch, isIdle = watch.WithCheck(now, last.IsLeader && len(last.Members) > 1)
+			if isIdle {
+				return g.stepDown(now, last)
+			}
+		}
+		return g.step(now, body)
+	}
+	return stage
+}
+
+// stepDown gives up the leadership of a node whose scheduler makes no progress. Its lease is not passed on but expires, since
+// that scheduler may still act under it.
+func (g *group[C, S, R]) stepDown(now time.Time, view messenger.JobsView) []messenger.Message {
+	var effects replicator.Effects[C, S, R]
+	g.state, effects = g.state.StepDown(now, stepDownPause)
+	reason := fmt.Sprintf("the scheduler has handled no message for %v", maxIdleTime)
+	d := messenger.Decision{Stage: messenger.Jobs, Event: "leadershipGivenUp", Term: view.Term, Config: view.State.Config().Version, Reason: reason}
+	return append(g.messages(now, effects), messenger.Message{To: messenger.Reporter, Body: d})
 }
 
 // applyEach applies the commands of a batch one by one, so that one that is skipped does not take the others with it.
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -70,6 +70,9 @@
 // Resign asks a replicated group to transfer leadership before a planned stop.
 type Resign struct{}
 
+// Progress is a sign of the leader's scheduler that it handles its messages.
+type Progress struct{}
+
 // RequestArrived passes a new request to the admitter.
 type RequestArrived struct{ Request Request }
 
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -62,6 +62,18 @@
 	})
 }
 
+// StepDown makes a leader a follower that starts no election for the given time unless it hears another leader. The other
+// voters wait until its lease has expired.
+func (s State[C, S, R]) StepDown(now time.Time, pause time.Duration) (State[C, S, R], Effects[C, S, R]) {
+	return s.step(now, func(t *transition[C, S, R]) {
+		if t.state.role != Leader {
+			return
+		}
+		t.becomeFollower(t.state.term, "")
+		t.state.electionAt = now.Add(pause)
+	})
+}
+
 // Persisted handles the event that a write is synced. It ignores the event if the entry
 // at p.Index has been replaced or compacted since.
 func (s State[C, S, R]) Persisted(now time.Time, p Persisted) (State[C, S, R], Effects[C, S, R]) {
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -42,6 +42,7 @@
 const (
 	tickInterval       = 50 * time.Millisecond  // between two checks of the workers and their runs
 	fleetInterval      = 100 * time.Millisecond // between two checks of the fleet; a machine move takes ten times as long
+	progressInterval   = 500 * time.Millisecond // between two signs of progress of the leader
 	minPassInterval    = 10 * time.Millisecond  // minimum time between two placement passes without active jobs, so that one pass handles several changes
 	passIntervalPerJob = 80 * time.Microsecond  // added to minPassInterval for each active job: about eight times the CPU time that a pass takes for one job on a small machine, so that passes leave CPU time for other work
 	maxPassInterval    = 100 * time.Millisecond // upper bound of the minimum time between two placement passes, however many jobs are active
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -64,6 +64,7 @@
 	lastPassAt       time.Time // when the last placement pass ran
 	nextFleetCheckAt time.Time // when reconcileFleet is next due
 	nextTickAt       time.Time // when periodic work is next due
+	nextProgressAt   time.Time // when the next sign of progress is due
 	lastSummaryAt    time.Time
 
 	nextSilenceCheckAt time.Time              // when recordSilences is next due
@@ -191,6 +192,10 @@
 	if !t.holdsLeaderLease(t.now) {
 		return
 	}
+	if !t.now.Before(t.nextProgressAt) {
+		t.nextProgressAt = messenger.NextTick(t.now, progressInterval)
+		t.Send(messenger.Jobs, messenger.Progress{})
+	}
 	if !t.now.Before(t.nextTickAt) {
 		t.nextTickAt = messenger.NextTick(t.now, tickInterval)
 		t.checkWorkers()
