--- a/assembler/jobs.go
+++ b/assembler/jobs.go
@@ -93,8 +93,11 @@
 		case messenger.Tick:
 			var isIdle bool
 			watch, isIdle = watch.WithCheck(now, last.IsLeader && len(last.Members) > 1)
-			if isIdle {
-				return g.stepDown(now, last)
+			if isIdle { // the lease is not passed on but expires: the scheduler may still act under it
+				var effects replicator.Effects[registrar.Command, registrar.State, registrar.Result]
+				d := messenger.Decision{Stage: messenger.Jobs, Event: "leadershipGivenUp", Term: last.Term, Config: last.State.Config().Version, Reason: fmt.Sprintf("the scheduler has handled no message for %v", maxIdleTime)}
+				g.state, effects = g.state.StepDown(now, stepDownPause)
+				return append(g.messages(now, effects), messenger.Message{To: messenger.Reporter, Body: d})
 			}
 		}
 		return g.step(now, body)
@@ -102,16 +105,6 @@
 	return stage
 }
 
-// stepDown gives up the leadership of a node whose scheduler makes no progress. Its lease is not passed on but expires, since
-// that scheduler may still act under it.
-func (g *group[C, S, R]) stepDown(now time.Time, view messenger.JobsView) []messenger.Message {
-	var effects replicator.Effects[C, S, R]
-	g.state, effects = g.state.StepDown(now, stepDownPause)
-	reason := fmt.Sprintf("the scheduler has handled no message for %v", maxIdleTime)
-	d := messenger.Decision{Stage: messenger.Jobs, Event: "leadershipGivenUp", Term: view.Term, Config: view.State.Config().Version, Reason: reason}
-	return append(g.messages(now, effects), messenger.Message{To: messenger.Reporter, Body: d})
-}
-
 // applyEach applies the commands of a batch one by one, so that one that is skipped does not take the others with it.
 func applyEach(apply func(registrar.State, time.Time, registrar.Command) (registrar.State, registrar.Result)) func(registrar.State, time.Time, registrar.Command) (registrar.State, registrar.Result) {
 	return func(s registrar.State, at time.Time, c registrar.Command) (registrar.State, registrar.Result) {
--- a/locator/choice_test.go
+++ b/locator/choice_test.go
@@ -39,7 +39,7 @@
 // of one of their tasks twice.
 func TestReserve(t *testing.T) {
 	request := registrar.Resources{CPU: 1000}
-	busy := NewMachine("a", registrar.Resources{}).With(time.Second, request).With(3*time.Second, request)
+	busy := NewMachine("a", registrar.Resources{}).WithReleases([]Release{{time.Second, request}, {3 * time.Second, request}})
 	tests := map[string]struct {
 		tasks Tasks
 		waits []time.Duration // of reservations made one after another; a negative one is unknown
@@ -68,8 +68,8 @@
 func TestStarts(t *testing.T) {
 	request := registrar.Resources{CPU: 1000}
 	machines := []Machine{
-		NewMachine("a", registrar.Resources{}).With(time.Second, request).With(3*time.Second, request),
-		NewMachine("b", registrar.Resources{}).With(2*time.Second, request),
+		NewMachine("a", registrar.Resources{}).WithReleases([]Release{{time.Second, request}, {3 * time.Second, request}}),
+		NewMachine("b", registrar.Resources{}).WithReleases([]Release{{2 * time.Second, request}}),
 	}
 	tests := map[string]struct {
 		perMachine int
--- a/locator/rack.go
+++ b/locator/rack.go
@@ -34,11 +34,6 @@
 	return Machine{Name: name, final: free}
 }
 
-// With returns the machine with a change of its free resources expected after the given time.
-func (m Machine) With(after time.Duration, resources registrar.Resources) Machine {
-	return m.WithReleases([]Release{{After: after, Resources: resources}})
-}
-
 // Release is the expected release of resources by a run.
 type Release struct {
 	After     time.Duration // from now
--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -52,17 +52,14 @@
 		return
 	}
 	p.teams = &teamPass{weights: weightsByTeam(config.Teams), used: t.usedByTeam(), quotas: make(map[string]sharer.Quota), lasting: make(map[string]sharer.Quota), held: make(map[string]int), shortPools: make(map[string]bool), withoutPlace: make(map[registrar.TaskID]bool), overduePriority: make(map[string]int)}
+	longRunning := t.longRunningByTeam()
 	for _, team := range config.Teams {
 		if team.Limit != (registrar.Resources{}) {
-			p.teams.quotas[team.Name] = sharer.NewQuota(team.Limit, p.teams.used[team.Name])
-			p.teams.lasting[team.Name] = sharer.NewQuota(team.Limit, registrar.Resources{})
+			lasting := longRunning[team.Name]
+			p.teams.quotas[team.Name] = sharer.NewQuota(team.Limit, p.teams.used[team.Name]).WithLongRunning(lasting)
+			p.teams.lasting[team.Name] = sharer.NewQuota(team.Limit, lasting).WithLongRunning(lasting)
 		}
 	}
-	longRunning := t.longRunningByTeam()
-	for name, quota := range p.teams.quotas {
-		p.teams.quotas[name] = quota.WithLongRunning(longRunning[name])
-		p.teams.lasting[name] = p.teams.lasting[name].WithStarts(1, longRunning[name]).WithLongRunning(longRunning[name])
-	}
 	cores := make(map[string]float64, len(p.teams.used))
 	for team, used := range p.teams.used {
 		cores[team] = float64(used.CPU) / 1000
--- a/sharer/quota.go
+++ b/sharer/quota.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"laburnumwind/registrar"
 )
@@ -31,19 +30,13 @@
 // kindQuota is the quota of one kind of resource.
 type kindQuota struct{ limit, used, longRunning, needed int }
 
-// kinds returns the quotas of the kinds of resources that have a limit and that a task with the given demand needs.
-func (q Quota) kinds(demand registrar.Resources) []kindQuota {
-	var kinds []kindQuota
-	for _, k := range [...]kindQuota{
+// kinds returns the quotas of the kinds of resources for a task with the given demand.
+func (q Quota) kinds(demand registrar.Resources) [3]kindQuota {
+	return [3]kindQuota{
 		{q.limit.CPU, q.used.CPU, q.longRunning.CPU, demand.CPU},
 		{q.limit.Memory, q.used.Memory, q.longRunning.Memory, demand.Memory},
 		{q.limit.GPU, q.used.GPU, q.longRunning.GPU, demand.GPU},
-	} {
-		if k.limit > 0 && k.needed > 0 {
-			kinds = append(kinds, k)
-		}
 	}
-	return kinds
 }
 
 // Startable returns how many tasks with the given demand fit the limit, or math.MaxInt32 if there is no bound. Where more
@@ -51,7 +44,9 @@
 func (q Quota) Startable(demand registrar.Resources) int {
 	n := math.MaxInt32
 	for _, k := range q.kinds(demand) {
-		n = min(n, max(k.limit-k.used, 0)/k.needed)
+		if k.binds() {
+			n = min(n, max(k.limit-k.used, 0)/k.needed)
+		}
 	}
 	return n
 }
@@ -63,7 +58,7 @@
 	for _, k := range q.kinds(demand) {
 		fits := k.used+n*k.needed <= k.limit
 		mayExceed := k.neverFits(n) && k.used+(n-1)*k.needed <= k.limit && 2*k.used < k.limit
-		if !fits && !mayExceed {
+		if k.binds() && !fits && !mayExceed {
 			return false
 		}
 	}
@@ -73,7 +68,15 @@
 // NeverFits reports whether n tasks with the given demand together exceed what the long-running tasks of the team leave
 // of its limit, so that the ends of its other tasks cannot make room for them.
 func (q Quota) NeverFits(n int, demand registrar.Resources) bool {
-	return slices.ContainsFunc(q.kinds(demand), func(k kindQuota) bool { return k.neverFits(n) })
+	for _, k := range q.kinds(demand) {
+		if k.binds() && k.neverFits(n) {
+			return true
+		}
+	}
+	return false
 }
 
+// binds reports whether the kind of resource has a limit and the task needs it.
+func (k kindQuota) binds() bool { return k.limit > 0 && k.needed > 0 }
+
 func (k kindQuota) neverFits(n int) bool { return k.longRunning+n*k.needed > k.limit }
